--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,362 @@
+//! Instances behind the wire: each has its own rules and its own id lists, and none sees another's.
+
+use crate::wire::{self, Act};
+use base64::{Engine, prelude::BASE64_STANDARD};
+use indigomast::api::*;
+use indigomast::rules::Rules;
+use indigomast::time::{Moment, Span};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+const WAKE: &str = "wake";
+
+/// Where in a batch something was wrong, and what.
+pub type Complaint = String;
+
+#[derive(Default)]
+pub struct Hosts {
+    pages: BTreeMap<u64, Vec<wire::Member>>,
+    instances: BTreeMap<u64, Instance>,
+}
+
+/// Names of the wire in the order in which they were first seen; a name's place is its index.
+#[derive(Default)]
+struct Names<T: Ord + Clone> {
+    index: BTreeMap<T, usize>,
+    names: Vec<T>,
+}
+
+impl<T: Ord + Clone> Names<T> {
+    fn of(names: Vec<T>) -> Self {
+        let mut list = Names { index: BTreeMap::new(), names: Vec::new() };
+        names.into_iter().for_each(|name| _ = list.place(name));
+        list
+    }
+
+    fn place(&mut self, name: T) -> usize {
+        let next = self.names.len();
+        *self.index.entry(name.clone()).or_insert_with(|| {
+            self.names.push(name);
+            next
+        })
+    }
+
+    fn find(&self, name: &T, field: &str) -> Result<usize, Complaint>
+    where
+        T: std::fmt::Debug,
+    {
+        self.index.get(name).copied().ok_or_else(|| format!("{field}: {name:?} is not known here"))
+    }
+}
+
+struct Instance {
+    rules: Rules,
+    texts: Names<u32>,
+    endpoints: Names<String>,
+    dests: Names<u64>,
+    keys: Names<String>,
+    products: Names<String>,
+    kinds: Names<String>,
+    zones: Names<String>,
+    pending: Vec<Event>,
+}
+
+fn read<T: DeserializeOwned>(value: Value) -> Result<T, Complaint> {
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = e.path().to_string();
+        let what = e.into_inner();
+        if path == "." { what.to_string() } else { format!("{path}: {what}") }
+    })
+}
+
+impl Hosts {
+    /// Answers one line of the wire.
+    pub fn answer(&mut self, line: &str) -> Result<wire::Reply, Complaint> {
+        let value: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
+        let round = value.get("round").and_then(Value::as_u64);
+        let place = round.map_or("batch without a number".to_owned(), |n| format!("batch {n}"));
+        let batch: wire::Batch = read(value).map_err(|e| format!("{place}: {e}"))?;
+        let mut order = Vec::new();
+        for (at, event) in batch.arrivals.into_iter().enumerate() {
+            self.take(event, &mut order).map_err(|e| format!("{place}: arrivals[{at}]: {e}"))?;
+        }
+        let mut actions = Vec::new();
+        for i in order {
+            if let Some(instance) = self.instances.get_mut(&i) {
+                instance.act(i, Moment::from_millis(batch.t_ms), &mut actions);
+            }
+        }
+        Ok(wire::Reply { round: batch.round, actions })
+    }
+
+    fn take(&mut self, event: Value, order: &mut Vec<u64>) -> Result<(), Complaint> {
+        let head: wire::Head = read(event.clone())?;
+        let within = |e: Complaint| format!("{}: {e}", head.msg);
+        if head.msg == "Page" {
+            let page: wire::Page = read(event).map_err(within)?;
+            self.pages.insert(page.number, page.members_list);
+            return Ok(());
+        }
+        let i = head.i.ok_or_else(|| within("missing field `i`".into()))?;
+        match head.msg.as_str() {
+            "Up" => {
+                let up: wire::Up = read(event).map_err(within)?;
+                self.instances.insert(i, Instance::new(up).map_err(within)?);
+            }
+            "Killed" => _ = self.instances.remove(&i),
+            _ => {
+                let instance =
+                    self.instances.get_mut(&i).ok_or_else(|| within(format!("i: {i} does not run")))?;
+                instance.take(&head.msg, event, &self.pages).map_err(within)?;
+            }
+        }
+        if !order.contains(&i) {
+            order.push(i);
+        }
+        Ok(())
+    }
+}
+
+fn settings(info: &wire::BootInfo, zone: ZoneId) -> Settings {
+    let product = |category: &wire::Category| Product {
+        sla_time: Span::from_millis(category.objective_ms),
+        repeat: match category.repeat {
+            wire::Repeat::ReadLike => Repeat::Resendable,
+            wire::Repeat::NonIdempotent => Repeat::OnceOnly,
+            wire::Repeat::IdempotencyKey => Repeat::Referenced {
+                memory: Span::from_millis(category.window_ms),
+                one_zone: category.group.as_deref() != Some("all"),
+            },
+        },
+        in_order: category.in_order,
+    };
+    let kind = |at: usize| Kind {
+        routes_apart: info.family_info.routes_apart.get(at).copied().unwrap_or(false),
+        texts_per_call: info.family_info.kind_batch.get(at).copied().unwrap_or(1).max(1),
+    };
+    Settings {
+        ordinal: info.ordinal,
+        senders: info.group_size,
+        slots: info.family_info.call_slots,
+        max_held: info.ceilings.most_held,
+        max_submits: info.ceilings.max_attempts,
+        products: info.categories.iter().map(product).collect(),
+        kinds: (0..info.kinds.len()).map(kind).collect(),
+        zone,
+        listed_rate: match info.weight_kind {
+            wire::WeightKind::Nominal => ListedRate::Exact,
+            wire::WeightKind::Rough => ListedRate::Rough,
+            wire::WeightKind::Silent | wire::WeightKind::Live => ListedRate::Silent,
+        },
+        must_subscribe: info.membership_mode == wire::MembershipMode::Subscribe,
+        must_ask_in: Span::from_millis(info.obligations.must_ask_in_ms),
+        longest_advice: info
+            .ceilings
+            .retry_after
+            .then(|| Span::from_millis(info.ceilings.max_retry_after_ms)),
+        keepalive: Span::from_millis(info.ceilings.keepalive_ms),
+        tick: Span::from_millis(info.tick_ms),
+        cold_share: info.obligations.cold_share,
+        cold_span: Span::from_millis(info.obligations.cold_ms),
+        tip_multiple: info.obligations.tip_multiple,
+        fall_span: Span::from_millis(info.obligations.fall_ms),
+        rest_after_doubt: Span::from_millis(info.obligations.settle_after_doubt_ms),
+    }
+}
+
+fn verdict(code: u8) -> Result<Verdict, Complaint> {
+    Ok(match code {
+        0 => Verdict::Delivered,
+        255 => Verdict::Error,
+        254 => Verdict::Full,
+        253 => Verdict::TimeOut,
+        252 => Verdict::ConnectFailed,
+        251 => Verdict::Reset,
+        250 => Verdict::Cancelled,
+        249 => Verdict::Moot,
+        other => return Err(format!("disposition: {other} is no outcome")),
+    })
+}
+
+fn allowance(report: Option<BTreeMap<String, Value>>) -> Result<Option<Allowance>, Complaint> {
+    let Some(report) = report else { return Ok(None) };
+    let field = |name: &str| match report.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => value.as_f64().map(Some).ok_or_else(|| format!("telemetry.{name}: not a number")),
+    };
+    let (left, rate) = (field("x0")?, field("x1")?);
+    Ok(rate.map(|rate| Allowance { share_left: left.unwrap_or(0.0), calls_per_sec: rate }))
+}
+
+impl Instance {
+    fn new(up: wire::Up) -> Result<Instance, Complaint> {
+        let info = up.boot_info;
+        let zones = Names::of(info.localities.clone());
+        let zone = ZoneId(zones.find(&info.zone, "boot-info.zone")?);
+        Ok(Instance {
+            rules: Rules::new(settings(&info, zone), up.seed as u64),
+            texts: Names::of(Vec::new()),
+            endpoints: Names::of(Vec::new()),
+            dests: Names::of(Vec::new()),
+            keys: Names::of(Vec::new()),
+            products: Names::of(info.categories.iter().map(|c| c.name.clone()).collect()),
+            kinds: Names::of(info.kinds),
+            zones,
+            pending: Vec::new(),
+        })
+    }
+
+    fn text(&self, id: u32) -> Result<TextId, Complaint> {
+        Ok(TextId(self.texts.find(&id, "op-id")?))
+    }
+
+    fn take(
+        &mut self,
+        msg: &str,
+        event: Value,
+        pages: &BTreeMap<u64, Vec<wire::Member>>,
+    ) -> Result<(), Complaint> {
+        let event = match msg {
+            "PeersKnown" => {
+                let known: wire::PeersKnown = read(event)?;
+                self.listed(known, pages)?
+            }
+            "JobIn" => {
+                let job: wire::JobIn = read(event)?;
+                let product = ProductId(self.products.find(&job.class, "class")?);
+                if self.texts.index.contains_key(&job.op_id) {
+                    return Err(format!("op-id: {} came before", job.op_id));
+                }
+                Event::Taken {
+                    text: TextId(self.texts.place(job.op_id)),
+                    product,
+                    dest: DestId(self.dests.place(job.dest)),
+                    key: job.partition_key.map(|key| KeyId(self.keys.place(key))),
+                    valid_until: Moment::from_millis(job.not_after_ms),
+                }
+            }
+            "Established" => {
+                let started: wire::Established = read(event)?;
+                Event::Streaming { text: self.text(started.op_id)?, submit: started.hop }
+            }
+            "Answer" => {
+                let answer: wire::Answer = read(event)?;
+                let verdict = verdict(answer.disposition)?;
+                let told = verdict == Verdict::Full && answer.note > 0.0;
+                Event::Outcome(Outcome {
+                    text: self.text(answer.op_id)?,
+                    submit: answer.hop,
+                    endpoint: EndpointId(self.endpoints.find(&answer.endpoint, "endpoint")?),
+                    verdict,
+                    told_wait: told.then(|| Span::from_millis(answer.note)),
+                    latency: Span::from_millis(answer.latency_ms),
+                    ended: answer.no_more,
+                    allowance: allowance(answer.telemetry)?,
+                })
+            }
+            "CancelledByClient" => {
+                let gone: wire::CancelledByClient = read(event)?;
+                Event::Withdrawn(self.text(gone.op_id)?)
+            }
+            "ProbeDone" => {
+                let done: wire::ProbeDone = read(event)?;
+                Event::Probed {
+                    endpoint: EndpointId(self.endpoints.find(&done.endpoint, "endpoint")?),
+                    verdict: verdict(done.disposition)?,
+                    latency: Span::from_millis(done.latency_ms),
+                    allowance: allowance(done.telemetry)?,
+                }
+            }
+            "Due" => {
+                let due: wire::Due = read(event)?;
+                if due.ctx != WAKE {
+                    return Ok(());
+                }
+                Event::Woken
+            }
+            "Inbox" => {
+                let inbox: wire::Inbox = read(event)?;
+                let bytes = BASE64_STANDARD.decode(&inbox.blob).map_err(|e| format!("blob: {e}"))?;
+                Event::Heard { from: inbox.src, bytes }
+            }
+            other => return Err(format!("msg: {other:?} is no event")),
+        };
+        self.pending.push(event);
+        Ok(())
+    }
+
+    fn listed(
+        &mut self,
+        known: wire::PeersKnown,
+        pages: &BTreeMap<u64, Vec<wire::Member>>,
+    ) -> Result<Event, Complaint> {
+        let scope = match known.scope {
+            wire::Scope::Error => return Ok(Event::Listed { scope: Scope::Error, entries: Vec::new() }),
+            wire::Scope::Partial => Scope::Partial,
+            wire::Scope::Complete => Scope::Complete,
+            wire::Scope::Persisted => Scope::Persisted,
+        };
+        let number = known.number.ok_or("missing field `ref`")?;
+        let page = pages.get(&number).ok_or_else(|| format!("ref: no page {number}"))?;
+        let entries = page.iter().map(|member| {
+            Ok(Entry {
+                endpoint: EndpointId(self.endpoints.place(member.endpoint.clone())),
+                dest: DestId(self.dests.place(member.belongs_to)),
+                kind: KindId(self.kinds.find(&member.sku, "sku")?),
+                zone: ZoneId(self.zones.find(&member.area, "area")?),
+                units: member.units,
+                condition: match member.condition {
+                    wire::Condition::Running => Condition::Running,
+                    wire::Condition::Stopping => Condition::Stopping,
+                    wire::Condition::Deleted => Condition::Deleted,
+                },
+            })
+        });
+        Ok(Event::Listed { scope, entries: entries.collect::<Result<_, Complaint>>()? })
+    }
+
+    fn act(&mut self, i: u64, now: Moment, out: &mut Vec<Act>) {
+        let events = std::mem::take(&mut self.pending);
+        match catch_unwind(AssertUnwindSafe(|| self.rules.step(now, events))) {
+            Ok(actions) => out.extend(actions.into_iter().map(|action| self.translate(i, action))),
+            Err(panic) => {
+                let text = panic.downcast_ref::<String>().cloned();
+                let text = text.or_else(|| panic.downcast_ref::<&str>().map(|s| s.to_string()));
+                out.push(Act::Die { i, what: text.unwrap_or_else(|| "the decisions panicked".into()) });
+            }
+        }
+    }
+
+    fn translate(&self, i: u64, action: Action) -> Act {
+        let op = |text: TextId| self.texts.names[text.0];
+        let address = |endpoint: EndpointId| self.endpoints.names[endpoint.0].clone();
+        match action {
+            Action::Submit { text, endpoint, time_out } => Act::Transmit {
+                i,
+                op_id: op(text),
+                give_up_after_ms: time_out.as_millis(),
+                endpoint: address(endpoint),
+            },
+            Action::Nack { text, come_back_after } => Act::PushBack {
+                i,
+                op_id: op(text),
+                cool_down_ms: come_back_after.unwrap_or(Span::ZERO).as_millis(),
+            },
+            Action::Undeliverable { text } => Act::Error { i, op_id: op(text) },
+            Action::Revoke { text, submit } => Act::Revoke { i, op_id: op(text), hop: submit },
+            Action::Probe { endpoint } => Act::Sample { i, endpoint: address(endpoint) },
+            Action::CloseIdle { endpoint } => Act::Release { i, endpoint: address(endpoint) },
+            Action::Subscribe { on } => Act::Follow { i, enable: on },
+            Action::ReadList => Act::ReadList { i },
+            Action::Tell { sender, bytes } => Act::Announce {
+                i,
+                recipient: sender.map_or(-1, |n| n as i64),
+                blob: BASE64_STANDARD.encode(bytes),
+            },
+            Action::WakeAt(at) => Act::Timer { i, instant_ms: at.as_millis(), ctx: WAKE.into() },
+            Action::Note(what) => Act::Print { i, what },
+        }
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/wire.rs
@@ -0,0 +1,248 @@
+//! The wire's own names and shapes. They end in this package.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+#[derive(Deserialize)]
+pub struct Batch {
+    #[serde(rename = "t-ms")]
+    pub t_ms: f64,
+    pub round: u64,
+    pub arrivals: Vec<Value>,
+}
+
+#[derive(Serialize)]
+pub struct Reply {
+    pub round: u64,
+    #[serde(rename = "do")]
+    pub actions: Vec<Act>,
+}
+
+#[derive(Deserialize)]
+pub struct Head {
+    pub msg: String,
+    pub i: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Up {
+    pub seed: i128,
+    pub boot_info: BootInfo,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct BootInfo {
+    pub group_size: usize,
+    pub ordinal: usize,
+    pub categories: Vec<Category>,
+    pub kinds: Vec<String>,
+    pub localities: Vec<String>,
+    pub zone: String,
+    pub family_info: FamilyInfo,
+    pub membership_mode: MembershipMode,
+    pub obligations: Obligations,
+    pub ceilings: Ceilings,
+    pub tick_ms: f64,
+    pub weight_kind: WeightKind,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Category {
+    pub name: String,
+    pub objective_ms: f64,
+    pub repeat: Repeat,
+    #[serde(default)]
+    pub group: Option<String>,
+    #[serde(default)]
+    pub window_ms: f64,
+    #[serde(default)]
+    pub in_order: bool,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeat {
+    ReadLike,
+    IdempotencyKey,
+    NonIdempotent,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct FamilyInfo {
+    pub call_slots: usize,
+    #[serde(default)]
+    pub kind_batch: Vec<usize>,
+    #[serde(default)]
+    pub routes_apart: Vec<bool>,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum MembershipMode {
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WeightKind {
+    Silent,
+    Nominal,
+    Rough,
+    Live,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Obligations {
+    pub cold_share: f64,
+    pub cold_ms: f64,
+    pub tip_multiple: f64,
+    pub fall_ms: f64,
+    #[serde(default)]
+    pub must_ask_in_ms: f64,
+    #[serde(default)]
+    pub settle_after_doubt_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Ceilings {
+    pub max_attempts: usize,
+    pub most_held: usize,
+    pub keepalive_ms: f64,
+    #[serde(default)]
+    pub retry_after: bool,
+    #[serde(default)]
+    pub max_retry_after_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Page {
+    #[serde(rename = "ref")]
+    pub number: u64,
+    pub members_list: Vec<Member>,
+}
+
+#[derive(Deserialize, Clone)]
+#[serde(rename_all = "kebab-case")]
+pub struct Member {
+    #[serde(default)]
+    pub units: f64,
+    pub condition: Condition,
+    pub endpoint: String,
+    pub area: String,
+    pub belongs_to: u64,
+    pub sku: String,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+pub enum Condition {
+    Running,
+    Stopping,
+    Deleted,
+}
+
+#[derive(Deserialize)]
+pub struct PeersKnown {
+    pub scope: Scope,
+    #[serde(rename = "ref")]
+    pub number: Option<u64>,
+}
+
+#[derive(Deserialize, Clone, Copy, PartialEq)]
+pub enum Scope {
+    Partial,
+    Complete,
+    Persisted,
+    Error,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct JobIn {
+    pub op_id: u32,
+    pub class: String,
+    pub partition_key: Option<String>,
+    pub not_after_ms: f64,
+    pub dest: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Established {
+    pub op_id: u32,
+    #[serde(default)]
+    pub hop: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Answer {
+    pub op_id: u32,
+    #[serde(default)]
+    pub note: f64,
+    #[serde(default)]
+    pub disposition: u8,
+    #[serde(default)]
+    pub latency_ms: f64,
+    #[serde(default)]
+    pub no_more: bool,
+    #[serde(default)]
+    pub hop: usize,
+    pub endpoint: String,
+    pub telemetry: Option<BTreeMap<String, Value>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ProbeDone {
+    pub endpoint: String,
+    #[serde(default)]
+    pub disposition: u8,
+    #[serde(default)]
+    pub latency_ms: f64,
+    pub telemetry: Option<BTreeMap<String, Value>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CancelledByClient {
+    pub op_id: u32,
+}
+
+#[derive(Deserialize)]
+pub struct Due {
+    pub ctx: String,
+}
+
+#[derive(Deserialize)]
+pub struct Inbox {
+    #[serde(default)]
+    pub src: usize,
+    #[serde(default)]
+    pub blob: String,
+}
+
+#[derive(Serialize, Debug)]
+#[serde(tag = "msg", rename_all_fields = "kebab-case")]
+pub enum Act {
+    Transmit { i: u64, op_id: u32, give_up_after_ms: f64, endpoint: String },
+    PushBack { i: u64, op_id: u32, cool_down_ms: f64 },
+    Error { i: u64, op_id: u32 },
+    Revoke { i: u64, op_id: u32, hop: usize },
+    Sample { i: u64, endpoint: String },
+    Release { i: u64, endpoint: String },
+    Follow { i: u64, enable: bool },
+    ReadList { i: u64 },
+    Announce { i: u64, recipient: i64, blob: String },
+    Timer { i: u64, instant_ms: f64, ctx: String },
+    Print { i: u64, what: String },
+    Die { i: u64, what: String },
+}
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,193 @@
+//! The interface of the decisions: what a carrier tells them and what they answer.
+//!
+//! Ids are small indices which the carrier hands out. A [`TextId`] must grow with the order in which texts are
+//! taken; the other ids count up from 0, each in its own list.
+
+use crate::time::{Moment, Span};
+
+macro_rules! ids {
+    ($($name:ident),*) => {$(
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub usize);
+    )*};
+}
+ids!(TextId, EndpointId, DestId, KindId, ProductId, KeyId, ZoneId);
+
+/// What a second run of a text would do at its receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Resendable,
+    /// The text bears a mark by which a repeat is dropped for `memory`, by all endpoints of its destination or
+    /// by those of one zone.
+    Referenced {
+        memory: Span,
+        one_zone: bool,
+    },
+    OnceOnly,
+}
+
+#[derive(Clone, Debug)]
+pub struct Product {
+    pub sla_time: Span,
+    pub repeat: Repeat,
+    pub in_order: bool,
+}
+
+/// What the listed figure of an endpoint says of the calls a second that its destination takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListedRate {
+    Silent,
+    Exact,
+    Rough,
+}
+
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub routes_apart: bool,
+    /// Texts that one call carries at most.
+    pub texts_per_call: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub ordinal: usize,
+    pub senders: usize,
+    pub slots: usize,
+    pub max_held: usize,
+    pub max_submits: usize,
+    pub products: Vec<Product>,
+    pub kinds: Vec<Kind>,
+    pub zone: ZoneId,
+    pub listed_rate: ListedRate,
+    /// Changes of the list come only to those who subscribed.
+    pub must_subscribe: bool,
+    /// How long a sender may go without asking for the list, where it must ask.
+    pub must_ask_in: Span,
+    pub longest_advice: Option<Span>,
+    pub keepalive: Span,
+    pub tick: Span,
+    pub cold_share: f64,
+    pub cold_span: Span,
+    pub tip_multiple: f64,
+    pub fall_span: Span,
+    pub rest_after_doubt: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Running,
+    Stopping,
+    Deleted,
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub endpoint: EndpointId,
+    pub dest: DestId,
+    pub kind: KindId,
+    pub zone: ZoneId,
+    pub units: f64,
+    pub condition: Condition,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Only entries that changed.
+    Partial,
+    Complete,
+    /// The list as it stood when the sender last ran.
+    Persisted,
+    /// Asking failed or the subscription dropped; the list held stays.
+    Error,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Delivered,
+    Error,
+    Full,
+    TimeOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+impl Verdict {
+    /// Whether the submit is known not to have run at the receiver.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot)
+    }
+}
+
+/// What an endpoint tells of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    pub share_left: f64,
+    pub calls_per_sec: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub text: TextId,
+    /// Submits of a text count from 0.
+    pub submit: usize,
+    pub endpoint: EndpointId,
+    pub verdict: Verdict,
+    pub told_wait: Option<Span>,
+    pub latency: Span,
+    /// The text needs no further answer.
+    pub ended: bool,
+    pub allowance: Option<Allowance>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Listed {
+        scope: Scope,
+        entries: Vec<Entry>,
+    },
+    Taken {
+        text: TextId,
+        product: ProductId,
+        dest: DestId,
+        key: Option<KeyId>,
+        valid_until: Moment,
+    },
+    Outcome(Outcome),
+    /// Nobody wants the text any more; its submits run on.
+    Withdrawn(TextId),
+    Probed {
+        endpoint: EndpointId,
+        verdict: Verdict,
+        latency: Span,
+        allowance: Option<Allowance>,
+    },
+    /// The stream of an answer has begun.
+    Streaming {
+        text: TextId,
+        submit: usize,
+    },
+    /// Word from another sender.
+    Heard {
+        from: usize,
+        bytes: Vec<u8>,
+    },
+    /// The time last asked for by [`Action::WakeAt`] has come.
+    Woken,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Submit { text: TextId, endpoint: EndpointId, time_out: Span },
+    Nack { text: TextId, come_back_after: Option<Span> },
+    Undeliverable { text: TextId },
+    Revoke { text: TextId, submit: usize },
+    Probe { endpoint: EndpointId },
+    CloseIdle { endpoint: EndpointId },
+    Subscribe { on: bool },
+    ReadList,
+    Tell { sender: Option<usize>, bytes: Vec<u8> },
+    WakeAt(Moment),
+    Note(String),
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,779 @@
+//! Every decision on a text: whether, when, where and how often it is submitted, and how it ends.
+//!
+//! Make a [`Rules`] from the settings and a seed, then hand [`Rules::step`] what happened at one moment and carry
+//! out what it returns, in order. Events and actions are in [`crate::api`]. `docs/design.md` tells which page the
+//! ordinary path follows and where it departs from it.
+
+use crate::api::*;
+use crate::chance::Chance;
+use crate::time::{Moment, Span};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// How often the one periodic timer comes round.
+const BEAT: Span = Span::millis(10);
+/// A lane without calls or texts for so long is dropped with all that it learnt.
+const QUIET_SPELL: Span = Span::millis(30_000);
+/// A text is ended so long before its validity period is over, so that the answer gets there.
+const ANSWER_MARGIN: Span = Span::millis(12);
+/// A submit is cut so long before the end, and a late cut is answered so long after it.
+const CUT_MARGIN: Span = Span::millis(6);
+/// A referenced text is not sent again so close to the end of its receiver's memory.
+const MEMORY_MARGIN: Span = Span::millis(300);
+/// First pause of a rescheduled text; it doubles from submit to submit up to the longest.
+const FIRST_PAUSE: Span = Span::millis(250);
+const LONGEST_PAUSE: Span = Span::millis(8_000);
+/// First pause between trial calls to what is held to be down, its growth and its end.
+const FIRST_TRIAL: Span = Span::millis(400);
+const TRIAL_GROWTH: f64 = 1.6;
+const LONGEST_TRIAL: Span = Span::millis(2_500);
+/// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
+const STRIKES_OUT: u32 = 4;
+/// This part of a sender's share in the budget of a cold destination is used.
+const COLD_PART: f64 = 0.7;
+/// Calls a second that any destination is trusted to take when warm, where nothing else is known.
+const LEAST_RATE: f64 = 1.0;
+/// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
+const RISEN: f64 = 2.5;
+const RISEN_BY: f64 = 150.0;
+/// First pause before the list is asked for again.
+const FIRST_ASK: Span = Span::millis(300);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// A rescheduled text may go out again.
+    Text(TextId),
+    /// A text has to be ended.
+    End(TextId),
+    /// A key has rested.
+    Key(KeyId),
+    /// The list is to be asked for.
+    Ask,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// An earlier text of the key has the turn.
+    Behind,
+    Fresh,
+    Waiting,
+    Ready,
+    Out,
+    Ended,
+}
+
+struct Text {
+    dest: DestId,
+    product: ProductId,
+    key: Option<KeyId>,
+    valid_until: Moment,
+    submits: usize,
+    out: Option<u64>,
+    /// When and in which zone the first submit that may have run was sent.
+    doubt: Option<(Moment, ZoneId)>,
+    place: Place,
+}
+
+#[derive(Default)]
+struct KeyLine {
+    line: VecDeque<TextId>,
+    rest_until: Option<Moment>,
+}
+
+/// The texts held for a destination and the endpoints that they may go to.
+#[derive(Default)]
+struct Hold {
+    fresh: BTreeSet<TextId>,
+    ready: BTreeSet<TextId>,
+    held: usize,
+    endpoints: Vec<EndpointId>,
+}
+
+struct Call {
+    endpoint: EndpointId,
+    sent: Moment,
+    texts_out: usize,
+    judged: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Sound,
+    Down,
+    /// Answering again after an outage, and cold.
+    Back,
+}
+
+/// What a sender's own calls say of a lane or an endpoint.
+struct Health {
+    state: State,
+    since: Moment,
+    next: Moment,
+    gap: Span,
+    strikes: u32,
+    struck_at: Moment,
+    last_ok: Moment,
+}
+
+impl Health {
+    fn new() -> Health {
+        let past = Moment::DISTANT_PAST;
+        Health {
+            state: State::Sound,
+            since: past,
+            next: past,
+            gap: FIRST_TRIAL,
+            strikes: 0,
+            struck_at: past,
+            last_ok: past,
+        }
+    }
+
+    fn open(&self, now: Moment, out: usize) -> bool {
+        match self.state {
+            State::Sound => true,
+            State::Down => out == 0 && now >= self.next,
+            State::Back => now >= self.next,
+        }
+    }
+
+    fn failed(&mut self, now: Moment, sent: Moment, weight: u32, jitter: f64) {
+        if self.state == State::Down {
+            self.gap = (self.gap * TRIAL_GROWTH).min(LONGEST_TRIAL);
+            self.next = self.next.max(now + self.gap * jitter);
+            return;
+        }
+        // An answer that came after this call had left shows the receiver alive: a single loss is no outage.
+        // Calls that left before the last strike was known tell of the same trouble once more.
+        if self.last_ok >= sent || sent < self.struck_at {
+            return;
+        }
+        self.strikes += weight;
+        self.struck_at = now;
+        if self.strikes >= STRIKES_OUT {
+            self.state = State::Down;
+            self.since = now;
+            self.gap = FIRST_TRIAL;
+            self.next = now + self.gap * jitter;
+        }
+    }
+
+    fn succeeded(&mut self, now: Moment, turn: Span, cold: Span) {
+        self.last_ok = now;
+        self.strikes = 0;
+        match self.state {
+            State::Down => {
+                self.state = State::Back;
+                self.since = now;
+                self.next = now + turn;
+            }
+            State::Back if now.since(self.since) >= cold => self.state = State::Sound,
+            _ => {}
+        }
+    }
+}
+
+struct Endpoint {
+    dest: DestId,
+    kind: KindId,
+    zone: ZoneId,
+    units: f64,
+    running: bool,
+    out: usize,
+    last_used: Moment,
+    health: Health,
+}
+
+/// The window of one destination, or of one route where routes are apart.
+struct Lane {
+    window: usize,
+    served: usize,
+    out: usize,
+    wait_until: Moment,
+    cut_at: Moment,
+    last_used: Moment,
+    health: Health,
+    /// Usual, recent and spread of answer times in milliseconds; 0 while nothing is known.
+    usual: f64,
+    recent: f64,
+    spread: f64,
+    slow: bool,
+    time_outs: u32,
+    told_rate: f64,
+    /// Calls delivered in the present second, and the best second of late.
+    second: Moment,
+    count: f64,
+    best: f64,
+}
+
+type LaneId = (DestId, Option<EndpointId>);
+
+pub struct Rules {
+    settings: Settings,
+    chance: Chance,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    lanes: BTreeMap<LaneId, Lane>,
+    holds: BTreeMap<DestId, Hold>,
+    texts: BTreeMap<TextId, Text>,
+    keys: BTreeMap<KeyId, KeyLine>,
+    calls: BTreeMap<u64, Call>,
+    next_call: u64,
+    dues: BTreeSet<(Moment, Due)>,
+    asks_failed: u32,
+    started: bool,
+    now: Moment,
+    actions: Vec<Action>,
+}
+
+impl Lane {
+    fn new(slots: usize) -> Lane {
+        Lane {
+            window: (slots / 2).max(1),
+            served: 0,
+            out: 0,
+            wait_until: Moment::DISTANT_PAST,
+            cut_at: Moment::DISTANT_PAST,
+            last_used: Moment::DISTANT_PAST,
+            health: Health::new(),
+            usual: 0.0,
+            recent: 0.0,
+            spread: 0.0,
+            slow: false,
+            time_outs: 0,
+            told_rate: 0.0,
+            second: Moment::DISTANT_PAST,
+            count: 0.0,
+            best: 0.0,
+        }
+    }
+
+    fn cap(&self, slots: usize) -> usize {
+        let sick = self.slow || self.health.state != State::Sound || self.health.strikes > 0;
+        (if sick { slots / 2 } else { slots * 3 / 4 }).max(1)
+    }
+
+    fn open(&self, now: Moment, slots: usize) -> bool {
+        now >= self.wait_until
+            && self.out < self.window.min(self.cap(slots))
+            && self.health.open(now, self.out)
+    }
+
+    /// One overload answers many calls at once; those that left before the last cut count with it.
+    fn cut(&mut self, now: Moment, sent: Moment) {
+        if sent >= self.cut_at {
+            self.window = (self.window / 2).max(1);
+            self.served = 0;
+            self.cut_at = now;
+        }
+    }
+
+    fn grow(&mut self, slots: usize) {
+        self.served += 1;
+        if self.served >= self.window {
+            self.served = 0;
+            self.window = (self.window + 1).min(self.cap(slots));
+        }
+    }
+
+    fn count_delivered(&mut self, now: Moment) {
+        if now.since(self.second) >= Span::millis(1000) {
+            self.best = self.count.max(self.best * 0.97);
+            self.second = now;
+            self.count = 0.0;
+        }
+        self.count += 1.0;
+    }
+
+    fn learn(&mut self, latency: f64) -> bool {
+        if self.usual == 0.0 {
+            (self.usual, self.recent, self.spread) = (latency, latency, latency / 2.0);
+        }
+        self.spread += ((latency - self.recent).abs() - self.spread) / 8.0;
+        self.usual += (latency - self.usual) / 32.0;
+        self.recent += (latency - self.recent) / 4.0;
+        self.slow = self.recent > self.usual * RISEN && self.recent > self.usual + RISEN_BY;
+        self.slow
+    }
+
+    fn time_out(&self, sla_time: Span) -> Span {
+        let expected = Span::from_millis(self.recent + 6.0 * self.spread);
+        sla_time.max(expected) * f64::from(1 << self.time_outs.min(2))
+    }
+}
+
+impl Rules {
+    pub fn new(settings: Settings, seed: u64) -> Rules {
+        Rules {
+            settings,
+            chance: Chance::new(seed),
+            endpoints: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            texts: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            dues: BTreeSet::new(),
+            asks_failed: 0,
+            started: false,
+            now: Moment::DISTANT_PAST,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes all that happened at `now`, in order, and returns what to do about it, in order.
+    pub fn step(&mut self, now: Moment, events: Vec<Event>) -> Vec<Action> {
+        self.now = now;
+        let mut beat = !self.started;
+        if !self.started {
+            self.started = true;
+            if self.settings.must_subscribe {
+                self.actions.push(Action::Subscribe { on: true });
+            }
+        }
+        for event in events {
+            match event {
+                Event::Listed { scope, entries } => self.listed(scope, entries),
+                Event::Taken { text, product, dest, key, valid_until } => {
+                    self.taken(text, product, dest, key, valid_until)
+                }
+                Event::Outcome(outcome) => self.outcome(outcome),
+                Event::Withdrawn(text) => self.end(text),
+                Event::Woken => beat = true,
+                Event::Probed { .. } | Event::Streaming { .. } | Event::Heard { .. } => {}
+            }
+        }
+        while let Some(&(at, due)) = self.dues.first()
+            && at <= now
+        {
+            self.dues.pop_first();
+            self.due(due);
+        }
+        if beat {
+            self.drop_idle();
+            self.actions.push(Action::WakeAt(now + BEAT.max(self.settings.tick)));
+        }
+        self.dispatch();
+        std::mem::take(&mut self.actions)
+    }
+
+    // The list.
+
+    fn listed(&mut self, scope: Scope, entries: Vec<Entry>) {
+        if scope == Scope::Error {
+            // Asking costs the registry work, and all senders may have been turned away together.
+            self.asks_failed += 1;
+            let pause = FIRST_ASK * f64::from(1 << (self.asks_failed - 1).min(6));
+            let pause = pause.min(self.settings.must_ask_in.max(FIRST_ASK)) * (0.5 + self.chance.share());
+            self.dues.insert((self.now + pause, Due::Ask));
+            return;
+        }
+        if scope != Scope::Persisted {
+            self.asks_failed = 0;
+        }
+        if scope != Scope::Partial {
+            self.endpoints.values_mut().for_each(|e| e.running = false);
+        }
+        for entry in entries {
+            let hold = self.holds.entry(entry.dest).or_default();
+            if !hold.endpoints.contains(&entry.endpoint) {
+                hold.endpoints.push(entry.endpoint);
+            }
+            let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
+                dest: entry.dest,
+                kind: entry.kind,
+                zone: entry.zone,
+                units: 0.0,
+                running: false,
+                out: 0,
+                last_used: Moment::DISTANT_PAST,
+                health: Health::new(),
+            });
+            endpoint.units = entry.units;
+            endpoint.running = entry.condition == Condition::Running;
+        }
+    }
+
+    // The life of a text.
+
+    fn taken(
+        &mut self,
+        id: TextId,
+        product: ProductId,
+        dest: DestId,
+        key: Option<KeyId>,
+        valid_until: Moment,
+    ) {
+        let key = key.filter(|_| self.settings.products[product.0].in_order);
+        let text = Text {
+            dest,
+            product,
+            key,
+            valid_until,
+            submits: 0,
+            out: None,
+            doubt: None,
+            place: Place::Behind,
+        };
+        self.dues.insert((valid_until - ANSWER_MARGIN, Due::End(id)));
+        self.texts.insert(id, text);
+        self.holds.entry(dest).or_default().held += 1;
+        match key {
+            None => self.put(id, Place::Fresh),
+            Some(key) => {
+                self.keys.entry(key).or_default().line.push_back(id);
+                self.advance(key);
+            }
+        }
+    }
+
+    fn put(&mut self, id: TextId, place: Place) {
+        let text = self.texts.get_mut(&id).expect("only texts at hand are moved");
+        let hold = self.holds.get_mut(&text.dest).expect("a text at hand has its hold");
+        match text.place {
+            Place::Fresh => _ = hold.fresh.remove(&id),
+            Place::Ready => _ = hold.ready.remove(&id),
+            _ => {}
+        }
+        match place {
+            Place::Fresh => _ = hold.fresh.insert(id),
+            Place::Ready => _ = hold.ready.insert(id),
+            Place::Ended if text.place != Place::Ended => hold.held -= 1,
+            _ => {}
+        }
+        text.place = place;
+    }
+
+    /// Gives the turn of a key to the next text in line, once the last one is ended and its submits are known.
+    fn advance(&mut self, key: KeyId) {
+        let Some(keyed) = self.keys.get_mut(&key) else { return };
+        let texts = &self.texts;
+        keyed.line.retain(|id| texts.contains_key(id));
+        let Some(&first) = keyed.line.front() else {
+            if keyed.rest_until.is_none_or(|until| until <= self.now) {
+                self.keys.remove(&key);
+            }
+            return;
+        };
+        if self.texts[&first].place != Place::Behind {
+            return;
+        }
+        match keyed.rest_until {
+            Some(until) if until > self.now => _ = self.dues.insert((until, Due::Key(key))),
+            _ => self.put(first, Place::Fresh),
+        }
+    }
+
+    /// Nothing further is sent for the text; submits still out keep its place in the key's line.
+    fn end(&mut self, id: TextId) {
+        if !self.texts.contains_key(&id) {
+            return;
+        }
+        self.put(id, Place::Ended);
+        let text = &self.texts[&id];
+        let key = text.key;
+        if text.out.is_none() {
+            self.texts.remove(&id);
+        }
+        if let Some(key) = key {
+            self.advance(key);
+        }
+    }
+
+    fn memory_ends(&self, text: &Text) -> Option<Moment> {
+        match (self.settings.products[text.product.0].repeat, text.doubt) {
+            (Repeat::Referenced { memory, .. }, Some((sent, _))) => Some(sent + memory - MEMORY_MARGIN),
+            _ => None,
+        }
+    }
+
+    fn may_go_again(&self, text: &Text) -> bool {
+        let once_only = self.settings.products[text.product.0].repeat == Repeat::OnceOnly;
+        text.submits < self.settings.max_submits
+            && !(once_only && text.doubt.is_some())
+            && self.memory_ends(text).is_none_or(|end| self.now < end)
+            && self.now < text.valid_until - ANSWER_MARGIN
+    }
+
+    fn give_up(&mut self, id: TextId) {
+        let text = &self.texts[&id];
+        let harmless = match self.settings.products[text.product.0].repeat {
+            Repeat::Resendable => true,
+            Repeat::Referenced { one_zone, .. } => text.doubt.is_none() || !one_zone,
+            Repeat::OnceOnly => text.doubt.is_none(),
+        };
+        if harmless && text.out.is_none() {
+            let held_until = |lane: &Lane| match lane.health.state {
+                State::Sound => lane.wait_until,
+                _ => lane.wait_until.max(lane.health.next),
+            };
+            let until =
+                self.lanes.iter().filter(|(id, _)| id.0 == text.dest).map(|(_, l)| held_until(l)).min();
+            let wait = until.map_or(Span::ZERO, |until| until.since(self.now));
+            let advice = self.settings.longest_advice.map(|most| wait.max(FIRST_PAUSE).min(most));
+            self.actions.push(Action::Nack { text: id, come_back_after: advice });
+        } else {
+            self.actions.push(Action::Undeliverable { text: id });
+        }
+        self.end(id);
+    }
+
+    fn reschedule(&mut self, id: TextId, told: Moment) {
+        let text = &self.texts[&id];
+        let tries = text.submits.clamp(1, 16) as u32;
+        let pause = (FIRST_PAUSE * f64::from(1 << (tries - 1))).min(LONGEST_PAUSE);
+        let at = (self.now + pause * (0.8 + 0.4 * self.chance.share())).max(told);
+        let memory_ends = self.memory_ends(text);
+        if !self.may_go_again(text) || at >= text.valid_until || memory_ends.is_some_and(|end| at >= end) {
+            return self.give_up(id);
+        }
+        if let Some(end) = memory_ends {
+            self.dues.insert((end, Due::End(id)));
+        }
+        self.dues.insert((at, Due::Text(id)));
+        self.put(id, Place::Waiting);
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Text(id) => {
+                if self.texts.get(&id).is_some_and(|t| t.place == Place::Waiting) {
+                    self.put(id, Place::Ready);
+                }
+            }
+            Due::End(id) => {
+                let Some(text) = self.texts.get(&id) else { return };
+                if text.place == Place::Ended {
+                    return;
+                }
+                // The cut submit should answer first; this stands behind it should that answer fail to come.
+                if text.out.is_some() && self.now < text.valid_until + CUT_MARGIN {
+                    let at = (text.valid_until + CUT_MARGIN).max(self.now + self.settings.tick);
+                    _ = self.dues.insert((at, Due::End(id)));
+                } else {
+                    self.give_up(id);
+                }
+            }
+            Due::Key(key) => self.advance(key),
+            Due::Ask => self.actions.push(Action::Subscribe { on: true }),
+        }
+    }
+
+    // What an outcome tells of the text and of its lane.
+
+    fn outcome(&mut self, outcome: Outcome) {
+        let id = outcome.text;
+        let Some(text) = self.texts.get_mut(&id) else { return };
+        if outcome.submit + 1 != text.submits {
+            return;
+        }
+        let Some(call_id) = text.out.take() else { return };
+        let call = self.calls.get_mut(&call_id).expect("a submit that is out has its call");
+        let (sent, endpoint) = (call.sent, call.endpoint);
+        let first_word = !std::mem::replace(&mut call.judged, true);
+        call.texts_out -= 1;
+        let done = call.texts_out == 0;
+        if !outcome.verdict.never_ran() && outcome.verdict != Verdict::Delivered {
+            text.doubt.get_or_insert((sent, self.endpoints[&endpoint].zone));
+            if let Some(key) = text.key.and_then(|key| self.keys.get_mut(&key)) {
+                key.rest_until = Some(self.now + self.settings.rest_after_doubt);
+            }
+        }
+        let ended = text.place == Place::Ended || outcome.ended || outcome.verdict == Verdict::Delivered;
+        if let Some(wait) = outcome.told_wait {
+            // Each text of a call may be told its own wait; the longest holds them all.
+            let lane = self.lane_of(endpoint);
+            let lane = self.lanes.get_mut(&lane).expect("a lane with calls out stays");
+            lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
+        }
+        if first_word {
+            self.judge(endpoint, sent, &outcome);
+        }
+        if done {
+            self.calls.remove(&call_id);
+            self.endpoints.get_mut(&endpoint).expect("known").out -= 1;
+            let lane = self.lane_of(endpoint);
+            self.lanes.get_mut(&lane).expect("a lane with calls out stays").out -= 1;
+        }
+        if ended {
+            self.end(id);
+        } else {
+            let told = outcome.told_wait.map_or(self.now, |wait| self.now + wait);
+            self.reschedule(id, told);
+        }
+    }
+
+    fn judge(&mut self, endpoint_id: EndpointId, sent: Moment, outcome: &Outcome) {
+        let now = self.now;
+        let lane_id = self.lane_of(endpoint_id);
+        let turn = self.turn(lane_id);
+        let cold = self.settings.cold_span;
+        let jitter = 0.8 + 0.4 * self.chance.share();
+        let slots = self.settings.slots;
+        let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
+        let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
+        if let Some(allowance) = outcome.allowance {
+            lane.told_rate = allowance.calls_per_sec;
+        }
+        let weight = match outcome.verdict {
+            Verdict::Moot | Verdict::Cancelled => return,
+            Verdict::Delivered => {
+                endpoint.health.succeeded(now, turn, cold);
+                lane.health.succeeded(now, turn, cold);
+                lane.time_outs = 0;
+                lane.count_delivered(now);
+                if lane.learn(outcome.latency.as_millis()) {
+                    lane.cut(now, sent);
+                } else {
+                    lane.grow(slots);
+                }
+                return;
+            }
+            Verdict::TimeOut => STRIKES_OUT,
+            Verdict::Reset | Verdict::ConnectFailed | Verdict::Error => 2,
+            Verdict::Full => 1,
+        };
+        if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
+            lane.time_outs += 1;
+        }
+        lane.cut(now, sent);
+        endpoint.health.failed(now, sent, weight, jitter);
+        lane.health.failed(now, sent, weight, jitter);
+    }
+
+    // Which call goes out next.
+
+    fn lane_of(&self, endpoint: EndpointId) -> LaneId {
+        let at = &self.endpoints[&endpoint];
+        (at.dest, self.settings.kinds[at.kind.0].routes_apart.then_some(endpoint))
+    }
+
+    /// Calls a second that the lane's receiver takes when warm, as far as this sender can tell.
+    fn warm_rate(&self, id: LaneId) -> f64 {
+        let lane = &self.lanes[&id];
+        let listed = self.endpoints.iter().filter(|(e, at)| at.dest == id.0 && id.1.is_none_or(|r| r == **e));
+        let units = listed.map(|(_, at)| at.units).fold(0.0, f64::max);
+        let listed = match self.settings.listed_rate {
+            ListedRate::Silent => 0.0,
+            ListedRate::Exact => units,
+            ListedRate::Rough => units / 1.5,
+        };
+        let known = if lane.told_rate > 0.0 { lane.told_rate } else { listed };
+        if known > 0.0 { known } else { (lane.best * self.settings.senders as f64).max(LEAST_RATE) }
+    }
+
+    /// Pause between two calls to a cold receiver that keeps this sender inside its part of the budget.
+    fn cold_gap(&self, id: LaneId, since: Moment) -> Span {
+        let warmth = (self.now.since(since).as_secs() / self.settings.cold_span.as_secs().max(1e-3)).min(1.0);
+        let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * warmth;
+        let budget = self.settings.tip_multiple * share * self.warm_rate(id) * COLD_PART;
+        Span::from_millis(1000.0 * self.settings.senders as f64 / budget.max(1e-3))
+    }
+
+    /// Senders take turns at what has just come back: each starts its part of the gap later than the one before.
+    fn turn(&self, id: LaneId) -> Span {
+        let part = (self.settings.ordinal + 1) as f64 / self.settings.senders.max(1) as f64;
+        self.cold_gap(id, self.now) * part
+    }
+
+    fn pick(&self, fresh: bool, passed: &BTreeSet<EndpointId>) -> Option<(DestId, EndpointId)> {
+        let mut best = None;
+        for (&dest, hold) in &self.holds {
+            let Some(&newest) = (if fresh { &hold.fresh } else { &hold.ready }).last() else { continue };
+            for &id in &hold.endpoints {
+                let at = &self.endpoints[&id];
+                let lane = self.lanes.get(&self.lane_of(id));
+                let open = lane.is_none_or(|lane| lane.open(self.now, self.settings.slots));
+                let lane_down = lane.is_some_and(|lane| lane.health.state == State::Down);
+                if !at.running
+                    || !open
+                    || passed.contains(&id)
+                    || !(lane_down || at.health.open(self.now, at.out))
+                {
+                    continue;
+                }
+                let lane_out = lane.map_or(0, |lane| lane.out);
+                let rank = (lane_out, Reverse(newest), at.out, Reverse(at.last_used), id);
+                if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                    best = Some((rank, dest));
+                }
+            }
+        }
+        best.map(|(rank, dest)| (dest, rank.4))
+    }
+
+    fn dispatch(&mut self) {
+        // Endpoints that none of the texts held may go to, as where only one zone remembers a reference.
+        let mut passed = BTreeSet::new();
+        for fresh in [true, false] {
+            while self.calls.len() < self.settings.slots
+                && let Some((dest, endpoint)) = self.pick(fresh, &passed)
+            {
+                if !self.call(dest, endpoint) {
+                    passed.insert(endpoint);
+                }
+            }
+        }
+    }
+
+    /// One call, filled with as many of the texts held as it carries.
+    fn call(&mut self, dest: DestId, endpoint: EndpointId) -> bool {
+        let lane_id = self.lane_of(endpoint);
+        let slots = self.settings.slots;
+        self.lanes.entry(lane_id).or_insert_with(|| Lane::new(slots));
+        let at = &self.endpoints[&endpoint];
+        let (kind, zone) = (at.kind, at.zone);
+        let hold = &self.holds[&dest];
+        let most = self.settings.kinds[kind.0].texts_per_call;
+        let takes = |id: &&TextId| {
+            let text = &self.texts[*id];
+            let one_zone = matches!(
+                self.settings.products[text.product.0].repeat,
+                Repeat::Referenced { one_zone: true, .. }
+            );
+            self.may_go_again(text) && !(one_zone && text.doubt.is_some_and(|(_, first)| first != zone))
+        };
+        let chosen = hold.fresh.iter().rev().chain(hold.ready.iter().rev()).filter(takes).take(most);
+        let chosen: Vec<TextId> = chosen.copied().collect();
+        if chosen.is_empty() {
+            return false;
+        }
+        let call = self.next_call;
+        self.next_call += 1;
+        for &id in &chosen {
+            let product = self.texts[&id].product;
+            let time_out = self.lanes[&lane_id].time_out(self.settings.products[product.0].sla_time);
+            self.put(id, Place::Out);
+            let text = self.texts.get_mut(&id).expect("chosen from the hold");
+            let time_out = time_out.min((text.valid_until - CUT_MARGIN).since(self.now));
+            text.submits += 1;
+            text.out = Some(call);
+            self.actions.push(Action::Submit { text: id, endpoint, time_out });
+        }
+        let lane_gap = self.cold_gap(lane_id, self.lanes[&lane_id].health.since);
+        let parts = hold_size(&self.holds[&dest], &self.endpoints) as f64;
+        let own_gap = self.cold_gap(lane_id, self.endpoints[&endpoint].health.since) * parts;
+        let at = self.endpoints.get_mut(&endpoint).expect("known");
+        at.out += 1;
+        at.last_used = self.now;
+        at.health.next = at.health.next.max(self.now + own_gap);
+        let lane = self.lanes.get_mut(&lane_id).expect("made above");
+        lane.out += 1;
+        lane.last_used = self.now;
+        lane.health.next = lane.health.next.max(self.now + lane_gap);
+        self.calls.insert(call, Call { endpoint, sent: self.now, texts_out: chosen.len(), judged: false });
+        true
+    }
+
+    fn drop_idle(&mut self) {
+        let (now, holds) = (self.now, &self.holds);
+        self.lanes.retain(|id, lane| {
+            let told = lane.wait_until > now;
+            told || lane.out > 0 || holds[&id.0].held > 0 || now.since(lane.last_used) < QUIET_SPELL
+        });
+    }
+}
+
+fn hold_size(hold: &Hold, endpoints: &BTreeMap<EndpointId, Endpoint>) -> usize {
+    hold.endpoints.iter().filter(|id| endpoints[*id].running).count().max(1)
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,342 @@
+//! Bench-free tests of the decisions, as tables of cases.
+
+use indigomast::api::*;
+use indigomast::rules::Rules;
+use indigomast::time::{Moment, Span};
+
+fn product(repeat: Repeat, in_order: bool) -> Product {
+    Product { sla_time: Span::millis(2000), repeat, in_order }
+}
+
+const MEMORY: Span = Span::millis(10_000);
+const RESENDABLE: Repeat = Repeat::Resendable;
+const REFERENCED: Repeat = Repeat::Referenced { memory: MEMORY, one_zone: false };
+const ZONED: Repeat = Repeat::Referenced { memory: MEMORY, one_zone: true };
+
+fn settings() -> Settings {
+    Settings {
+        ordinal: 0,
+        senders: 2,
+        slots: 8,
+        max_held: 100,
+        max_submits: 6,
+        products: vec![
+            product(RESENDABLE, false),
+            product(REFERENCED, false),
+            product(Repeat::OnceOnly, false),
+            product(ZONED, false),
+            product(REFERENCED, true),
+        ],
+        kinds: vec![
+            Kind { routes_apart: false, texts_per_call: 1 },
+            Kind { routes_apart: false, texts_per_call: 4 },
+            Kind { routes_apart: true, texts_per_call: 1 },
+        ],
+        zone: ZoneId(0),
+        listed_rate: ListedRate::Silent,
+        must_subscribe: false,
+        must_ask_in: Span::millis(10_000),
+        longest_advice: Some(Span::millis(2000)),
+        keepalive: Span::millis(5000),
+        tick: Span::millis(5),
+        cold_share: 0.2,
+        cold_span: Span::millis(10_000),
+        tip_multiple: 2.0,
+        fall_span: Span::millis(2000),
+        rest_after_doubt: Span::millis(100),
+    }
+}
+
+/// A sender with a clock that moves by hand; endpoints 0 and 1 serve destination 0, endpoint 2 destination 1.
+struct Bench {
+    rules: Rules,
+    now: f64,
+    taken: usize,
+    submits: std::collections::BTreeMap<usize, usize>,
+}
+
+fn entry(endpoint: usize, dest: usize, kind: usize, condition: Condition) -> Entry {
+    Entry {
+        endpoint: EndpointId(endpoint),
+        dest: DestId(dest),
+        kind: KindId(kind),
+        zone: ZoneId(endpoint),
+        units: 1.0,
+        condition,
+    }
+}
+
+impl Bench {
+    fn new(settings: Settings, kind: usize) -> Bench {
+        let mut bench =
+            Bench { rules: Rules::new(settings, 9), now: 0.0, taken: 0, submits: Default::default() };
+        let list = |n, dest| entry(n, dest, kind, Condition::Running);
+        bench.list(Scope::Persisted, vec![list(0, 0), list(1, 0), list(2, 1)]);
+        bench
+    }
+
+    fn at(&self, millis: f64) -> Moment {
+        Moment::from_millis(millis)
+    }
+
+    fn step(&mut self, events: Vec<Event>) -> Vec<Action> {
+        let actions = self.rules.step(self.at(self.now), events);
+        for action in &actions {
+            if let Action::Submit { text, .. } = action {
+                *self.submits.entry(text.0).or_default() += 1;
+            }
+        }
+        actions.into_iter().filter(|a| !matches!(a, Action::WakeAt(_))).collect()
+    }
+
+    fn list(&mut self, scope: Scope, entries: Vec<Entry>) -> Vec<Action> {
+        self.step(vec![Event::Listed { scope, entries }])
+    }
+
+    fn taken(&mut self, product: usize, dest: usize, key: Option<usize>, lives: f64) -> Event {
+        self.taken += 1;
+        Event::Taken {
+            text: TextId(self.taken - 1),
+            product: ProductId(product),
+            dest: DestId(dest),
+            key: key.map(KeyId),
+            valid_until: self.at(self.now + lives),
+        }
+    }
+
+    fn take(&mut self, count: usize, product: usize, dest: usize) -> Vec<Action> {
+        let events = (0..count).map(|_| self.taken(product, dest, None, 20_000.0)).collect();
+        self.step(events)
+    }
+
+    fn answer(
+        &mut self,
+        text: usize,
+        endpoint: EndpointId,
+        verdict: Verdict,
+        wait: Option<i64>,
+    ) -> Vec<Action> {
+        let outcome = Outcome {
+            text: TextId(text),
+            submit: self.submits[&text] - 1,
+            endpoint,
+            verdict,
+            told_wait: wait.map(Span::millis),
+            latency: Span::millis(100),
+            ended: verdict == Verdict::Delivered,
+            allowance: None,
+        };
+        self.step(vec![Event::Outcome(outcome)])
+    }
+
+    /// Lets time pass in ticks and gathers what was done and when.
+    fn pass(&mut self, millis: f64) -> Vec<(f64, Action)> {
+        let end = self.now + millis;
+        let mut done = Vec::new();
+        while self.now < end {
+            self.now += 5.0;
+            let now = self.now;
+            done.extend(self.step(vec![Event::Woken]).into_iter().map(|a| (now, a)));
+        }
+        done
+    }
+}
+
+fn submits(actions: &[Action]) -> Vec<(usize, EndpointId)> {
+    let submit = |a: &Action| match a {
+        Action::Submit { text, endpoint, .. } => Some((text.0, *endpoint)),
+        _ => None,
+    };
+    actions.iter().filter_map(submit).collect()
+}
+
+#[test]
+fn window_starts_at_half_the_slots() {
+    for (slots, starts) in [(1, 1), (2, 1), (3, 1), (5, 2), (8, 4), (9, 4)] {
+        let mut bench = Bench::new(Settings { slots, ..settings() }, 0);
+        assert_eq!(submits(&bench.take(20, 0, 0)).len(), starts, "{slots} slots");
+    }
+}
+
+#[test]
+fn window_grows_by_one_a_full_window_up_to_three_quarters() {
+    let mut bench = Bench::new(settings(), 0);
+    let mut out = submits(&bench.take(60, 0, 0));
+    let mut sizes = vec![out.len()];
+    for _ in 0..30 {
+        let (text, endpoint) = out.remove(0);
+        bench.now += 100.0;
+        out.extend(submits(&bench.answer(text, endpoint, Verdict::Delivered, None)));
+        sizes.push(out.len());
+    }
+    assert_eq!(&sizes[..10], &[4, 4, 4, 4, 5, 5, 5, 5, 5, 6]);
+    assert_eq!(sizes.iter().max(), Some(&6));
+}
+
+#[test]
+fn window_is_halved_once_for_one_trouble() {
+    for verdict in [Verdict::Full, Verdict::Error, Verdict::Reset] {
+        let mut bench = Bench::new(settings(), 0);
+        let out = submits(&bench.take(60, 0, 0));
+        bench.now += 100.0;
+        let mut left = out.len();
+        for (text, endpoint) in out {
+            left -= 1;
+            left += submits(&bench.answer(text, endpoint, verdict, None)).len();
+        }
+        assert_eq!(left, 2, "{verdict:?}");
+    }
+}
+
+#[test]
+fn a_text_ends_as_its_product_allows() {
+    // product, verdict of the first submit, how it ends when its time is over
+    let nacked = "nack";
+    let undeliverable = "undeliverable";
+    for (product, verdict, end) in [
+        (0, Verdict::TimeOut, nacked),
+        (0, Verdict::Full, nacked),
+        (1, Verdict::Reset, nacked),
+        (2, Verdict::Full, nacked),
+        (2, Verdict::ConnectFailed, nacked),
+        (2, Verdict::Moot, nacked),
+        (2, Verdict::TimeOut, undeliverable),
+        (2, Verdict::Error, undeliverable),
+        (2, Verdict::Reset, undeliverable),
+        (3, Verdict::Reset, undeliverable),
+        (3, Verdict::ConnectFailed, nacked),
+    ] {
+        let mut bench = Bench::new(Settings { max_submits: 1, ..settings() }, 0);
+        let (text, endpoint) = submits(&bench.take(1, product, 0))[0];
+        bench.now += 100.0;
+        let done = bench.answer(text, endpoint, verdict, None);
+        let ends = match done.as_slice() {
+            [Action::Nack { .. }] => nacked,
+            [Action::Undeliverable { .. }] => undeliverable,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(ends, end, "product {product} after {verdict:?}");
+        assert!(bench.pass(25_000.0).is_empty(), "nothing follows the final answer");
+    }
+}
+
+#[test]
+fn a_referenced_text_is_sent_again_only_while_it_is_remembered() {
+    let mut bench = Bench::new(Settings { max_submits: 50, ..settings() }, 0);
+    let mut out = submits(&bench.take(1, 1, 0));
+    let mut last = 0.0;
+    let ended = loop {
+        if let Some((text, endpoint)) = out.pop() {
+            bench.now += 400.0;
+            bench.answer(text, endpoint, Verdict::Reset, None);
+        }
+        let done = bench.pass(5.0);
+        if let Some((at, _)) = done.iter().find(|(_, a)| matches!(a, Action::Nack { .. })) {
+            break *at;
+        }
+        out = submits(&done.iter().map(|(_, a)| a.clone()).collect::<Vec<_>>());
+        last = if out.is_empty() { last } else { bench.now };
+    };
+    assert!(last < 10_000.0 && ended < 10_005.0, "last submit at {last}, ended at {ended}");
+}
+
+#[test]
+fn every_text_is_answered_before_its_time_is_over() {
+    let mut bench = Bench::new(settings(), 0);
+    bench.list(Scope::Complete, vec![]);
+    bench.take(3, 0, 0);
+    let done = bench.pass(20_000.0);
+    assert_eq!(done.len(), 3);
+    assert!(done.iter().all(|(at, a)| *at < 20_000.0 && matches!(a, Action::Nack { .. })));
+}
+
+#[test]
+fn a_told_wait_holds_the_destination_or_the_route() {
+    // kind, whether the other endpoint of the destination goes on
+    for (kind, goes_on) in [(0, false), (1, false), (2, true)] {
+        let mut bench = Bench::new(settings(), kind);
+        let (text, endpoint) = submits(&bench.take(1, 0, 0))[0];
+        bench.answer(text, endpoint, Verdict::Full, Some(3000));
+        let mut sent = submits(&bench.take(6, 0, 0));
+        let done: Vec<Action> = bench.pass(2990.0).into_iter().map(|(_, a)| a).collect();
+        sent.extend(submits(&done));
+        assert_eq!(sent.iter().any(|(_, e)| *e != endpoint), goes_on, "kind {kind}");
+        assert!(sent.iter().all(|(_, e)| *e != endpoint), "kind {kind}");
+        assert!(!submits(&bench.take(1, 0, 1)).is_empty(), "the other destination goes on");
+    }
+}
+
+#[test]
+fn texts_of_a_key_go_in_turn_and_rest_after_doubt() {
+    for (verdict, rests) in [(Verdict::Delivered, false), (Verdict::TimeOut, true)] {
+        let mut bench = Bench::new(Settings { max_submits: 1, ..settings() }, 0);
+        let events = (0..3).map(|n| bench.taken(4, n % 2, Some(7), 20_000.0)).collect();
+        let out = submits(&bench.step(events));
+        assert_eq!(out.len(), 1, "one at a time, whatever the destination");
+        bench.now += 200.0;
+        let next = submits(&bench.answer(0, out[0].1, verdict, None));
+        assert_eq!(next.is_empty(), rests);
+        let done: Vec<Action> = bench.pass(95.0).into_iter().map(|(_, a)| a).collect();
+        assert!(submits(&done).is_empty());
+        if rests {
+            let done: Vec<Action> = bench.pass(10.0).into_iter().map(|(_, a)| a).collect();
+            assert_eq!(submits(&done).iter().map(|s| s.0).collect::<Vec<_>>(), [1]);
+        }
+    }
+}
+
+#[test]
+fn a_withdrawn_text_blocks_its_key_until_its_submit_is_known() {
+    let mut bench = Bench::new(settings(), 0);
+    let events = (0..2).map(|_| bench.taken(4, 0, Some(7), 20_000.0)).collect();
+    let out = submits(&bench.step(events));
+    assert!(submits(&bench.step(vec![Event::Withdrawn(TextId(0))])).is_empty());
+    bench.now += 100.0;
+    assert_eq!(submits(&bench.answer(0, out[0].1, Verdict::Full, None)).first().map(|s| s.0), Some(1));
+}
+
+#[test]
+fn a_draining_endpoint_gets_nothing_more_at_once() {
+    for (scope, entries) in [
+        (Scope::Partial, vec![entry(0, 0, 0, Condition::Stopping)]),
+        (Scope::Partial, vec![entry(0, 0, 0, Condition::Deleted)]),
+        (Scope::Complete, vec![entry(1, 0, 0, Condition::Running)]),
+    ] {
+        let mut bench = Bench::new(settings(), 0);
+        bench.list(scope, entries);
+        assert!(submits(&bench.take(8, 0, 0)).iter().all(|(_, e)| *e == EndpointId(1)));
+    }
+}
+
+#[test]
+fn the_list_is_asked_for_again_with_growing_pauses() {
+    let mut bench = Bench::new(Settings { must_subscribe: true, ..settings() }, 0);
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        let from = bench.now;
+        bench.list(Scope::Error, vec![]);
+        while !bench.pass(5.0).iter().any(|(_, a)| *a == Action::Subscribe { on: true }) {}
+        pauses.push(bench.now - from);
+    }
+    assert!(pauses[3] > 2.0 * pauses[0] && pauses.iter().all(|p| *p < 10_000.0), "{pauses:?}");
+}
+
+#[test]
+fn a_call_is_filled_with_the_texts_held() {
+    let mut bench = Bench::new(Settings { slots: 2, ..settings() }, 1);
+    assert_eq!(submits(&bench.take(9, 0, 0)).len(), 4, "one call of four texts fits the window of one");
+    let sent = bench.answer(8, EndpointId(0), Verdict::Delivered, None);
+    assert!(submits(&sent).is_empty(), "the call is out until its last text has its outcome");
+}
+
+#[test]
+fn a_silent_destination_gets_trial_calls_only() {
+    let mut bench = Bench::new(settings(), 0);
+    let out = submits(&bench.take(30, 0, 0));
+    bench.now += 2000.0;
+    for (text, endpoint) in out {
+        bench.answer(text, endpoint, Verdict::TimeOut, None);
+    }
+    let done: Vec<Action> = bench.pass(2000.0).into_iter().map(|(_, a)| a).collect();
+    assert_eq!(submits(&done).len(), 1, "one trial, which has no answer yet");
+}
