--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,6 +36,8 @@
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
 const RISEN: f64 = 2.5;
 const RISEN_BY: f64 = 150.0;
+/// This part of the room for texts is kept free, so that a sick lane's hold doesn't shut out fresh texts.
+const ROOM_KEPT: f64 = 0.1;
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
@@ -354,6 +356,7 @@
             self.actions.push(Action::WakeAt(now + BEAT.max(self.settings.tick)));
         }
         self.dispatch();
+        self.make_room();
         std::mem::take(&mut self.actions)
     }
 
@@ -518,6 +521,23 @@
         self.end(id);
     }
 
+    /// Guards against any receiver, sick or crowded, whose texts fill the room for all: beyond it texts are
+    /// turned away unseen, those for sound receivers too. The longest hold gives up its stalest text, while it can
+    /// still be handed in again. It may hurt where clients never come again and the hold would have emptied soon.
+    fn make_room(&mut self) {
+        let kept = ((self.settings.max_held as f64 * ROOM_KEPT) as usize).max(1);
+        let mut held: usize = self.holds.values().map(|hold| hold.held).sum();
+        while held + kept > self.settings.max_held {
+            let Some((&dest, _)) = self.holds.iter().max_by_key(|(_, hold)| hold.held) else { return };
+            let stalest = self.texts.iter().find(|(_, text)| {
+                text.dest == dest && text.doubt.is_none() && !matches!(text.place, Place::Out | Place::Ended)
+            });
+            let Some((&id, _)) = stalest else { return };
+            self.give_up(id);
+            held -= 1;
+        }
+    }
+
     fn reschedule(&mut self, id: TextId, told: Moment) {
         let text = &self.texts[&id];
         let tries = text.submits.clamp(1, 16) as u32;
