--- a/src/rules.rs
+++ b/src/rules.rs
@@ -651,7 +651,7 @@
             }
             Verdict::TimeOut => STRIKES_OUT,
             Verdict::Reset | Verdict::ConnectFailed | Verdict::Error => 2,
-            Verdict::Full => 0,
+            Verdict::Full => 1,
         };
         if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
             lane.time_outs += 1;
