Pace a lane by its listed, told or observed rate

Cause: windows alone let a clump through far above the receiver's rate; the nacks as full burn submits and mark sound lanes down. A lane now has a pace in calls a second: from the list or the receiver's word, else from what it delivered when first full; cut on full, raised with deliveries. Also holds against clumps, hot receivers and limits that count nacked calls; may hurt where an equal part is far from what the others leave.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,6 +38,12 @@
 const RISEN_BY: f64 = 150.0;
 /// This part of the room for texts is kept free, so that a sick lane's hold doesn't shut out fresh texts.
 const ROOM_KEPT: f64 = 0.1;
+/// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a sender's
+/// equal share with each call delivered, and lets calls through early by this span.
+const PACE_CUT: f64 = 0.75;
+const PACE_RISE: f64 = 0.05;
+const PACE_EARLY: Span = Span::millis(300);
+const LEAST_PACE: f64 = 0.4;
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
@@ -202,6 +208,9 @@
     slow: bool,
     time_outs: u32,
     told_rate: f64,
+    /// Calls a second that this sender allows itself; 0 while nothing limits it.
+    pace: f64,
+    paced: Moment,
     /// Calls delivered in the present second, and the best second of late.
     second: Moment,
     count: f64,
@@ -243,6 +252,8 @@
             slow: false,
             time_outs: 0,
             told_rate: 0.0,
+            pace: 0.0,
+            paced: Moment::DISTANT_PAST,
             second: Moment::DISTANT_PAST,
             count: 0.0,
             best: 0.0,
@@ -256,6 +267,7 @@
 
     fn open(&self, now: Moment, slots: usize) -> bool {
         now >= self.wait_until
+            && (self.pace == 0.0 || now + PACE_EARLY >= self.paced)
             && self.out < self.window.min(self.cap(slots))
             && self.health.open(now, self.out)
     }
@@ -628,6 +640,8 @@
         let lane_id = self.lane_of(endpoint_id);
         let turn = self.turn(lane_id);
         let cold = self.settings.cold_span;
+        let known = self.known_rate(lane_id);
+        let senders = self.settings.senders.max(1) as f64;
         let jitter = 0.8 + 0.4 * self.chance.share();
         let slots = self.settings.slots;
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
@@ -642,6 +656,11 @@
                 lane.health.succeeded(now, turn, cold);
                 lane.time_outs = 0;
                 lane.count_delivered(now);
+                if lane.pace > 0.0 {
+                    let most = if known > 0.0 { known } else { f64::INFINITY };
+                    let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
+                    lane.pace = (lane.pace + PACE_RISE * share).min(most);
+                }
                 if lane.learn(outcome.latency.as_millis()) {
                     lane.cut(now, sent);
                 } else {
@@ -656,6 +675,12 @@
         if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
             lane.time_outs += 1;
         }
+        if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
+            let from = if lane.pace > 0.0 { lane.pace } else { lane.best.max(lane.count).max(1.0) };
+            let least = if known > 0.0 { known / senders / 2.0 } else { LEAST_PACE };
+            lane.pace = (from * PACE_CUT).max(least);
+            lane.paced = lane.paced.max(now);
+        }
         lane.cut(now, sent);
         endpoint.health.failed(now, sent, weight, jitter);
         lane.health.failed(now, sent, weight, jitter);
@@ -668,9 +693,9 @@
         (at.dest, self.settings.kinds[at.kind.0].routes_apart.then_some(endpoint))
     }
 
-    /// Calls a second that the lane's receiver takes when warm, as far as this sender can tell.
-    fn warm_rate(&self, id: LaneId) -> f64 {
-        let lane = &self.lanes[&id];
+    /// Calls a second that the lane's receiver takes from all senders by its list or its own word; 0 if unknown.
+    fn known_rate(&self, id: LaneId) -> f64 {
+        let told = self.lanes.get(&id).map_or(0.0, |lane| lane.told_rate);
         let listed = self.endpoints.iter().filter(|(e, at)| at.dest == id.0 && id.1.is_none_or(|r| r == **e));
         let units = listed.map(|(_, at)| at.units).fold(0.0, f64::max);
         let listed = match self.settings.listed_rate {
@@ -678,8 +703,15 @@
             ListedRate::Exact => units,
             ListedRate::Rough => units / 1.5,
         };
-        let known = if lane.told_rate > 0.0 { lane.told_rate } else { listed };
-        if known > 0.0 { known } else { (lane.best * self.settings.senders as f64).max(LEAST_RATE) }
+        if told > 0.0 { told } else { listed }
+    }
+
+    /// Calls a second that the lane's receiver takes when warm, as far as this sender can tell.
+    fn warm_rate(&self, id: LaneId) -> f64 {
+        match self.known_rate(id) {
+            0.0 => (self.lanes[&id].best * self.settings.senders as f64).max(LEAST_RATE),
+            known => known,
+        }
     }
 
     /// Pause between two calls to a cold receiver that keeps this sender inside its part of the budget.
@@ -740,7 +772,8 @@
     fn call(&mut self, dest: DestId, endpoint: EndpointId) -> bool {
         let lane_id = self.lane_of(endpoint);
         let slots = self.settings.slots;
-        self.lanes.entry(lane_id).or_insert_with(|| Lane::new(slots));
+        let start = self.known_rate(lane_id) * 2.0 / (self.settings.senders as f64 + 1.0);
+        self.lanes.entry(lane_id).or_insert_with(|| Lane { pace: start, ..Lane::new(slots) });
         let at = &self.endpoints[&endpoint];
         let (kind, zone) = (at.kind, at.zone);
         let hold = &self.holds[&dest];
@@ -780,6 +813,9 @@
         let lane = self.lanes.get_mut(&lane_id).expect("made above");
         lane.out += 1;
         lane.last_used = self.now;
+        if lane.pace > 0.0 {
+            lane.paced = lane.paced.max(self.now) + Span::from_millis(1000.0 / lane.pace);
+        }
         lane.health.next = lane.health.next.max(self.now + lane_gap);
         self.calls.insert(call, Call { endpoint, sent: self.now, texts_out: chosen.len(), judged: false });
         true
