--- a/src/rules.rs
+++ b/src/rules.rs
@@ -648,6 +648,9 @@
         let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
         if let Some(allowance) = outcome.allowance {
             lane.told_rate = allowance.calls_per_sec;
+            if lane.pace == 0.0 {
+                lane.pace = lane.told_rate * 2.0 / (senders + 1.0);
+            }
         }
         let weight = match outcome.verdict {
             Verdict::Moot | Verdict::Cancelled => return,
