--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,6 +44,9 @@
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(300);
 const LEAST_PACE: f64 = 0.4;
+/// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
+const SILENT_TIMES: f64 = 4.0;
+const SILENT_AT_LEAST: Span = Span::millis(500);
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
@@ -731,6 +734,15 @@
         self.cold_gap(id, self.now) * part
     }
 
+    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung,
+    /// silent and very slow receivers, which would draw in a slot a call until the first time-out; it may hurt
+    /// where one slow call among few is all that is wrong.
+    fn silent(&self, lane: &Lane, health: &Health, calls: impl Iterator<Item = Moment>) -> bool {
+        let usual = Span::from_millis((lane.recent + lane.spread) * SILENT_TIMES);
+        let patience = if lane.recent > 0.0 { usual.max(SILENT_AT_LEAST) } else { SILENT_AT_LEAST * 2.0 };
+        calls.min().is_some_and(|sent| self.now.since(sent) > patience && health.last_ok <= sent)
+    }
+
     fn pick(&self, fresh: bool, passed: &BTreeSet<EndpointId>) -> Option<(DestId, EndpointId)> {
         let mut best = None;
         for (&dest, hold) in &self.holds {
@@ -740,7 +752,14 @@
                 let lane = self.lanes.get(&self.lane_of(id));
                 let open = lane.is_none_or(|lane| lane.open(self.now, self.settings.slots));
                 let lane_down = lane.is_some_and(|lane| lane.health.state == State::Down);
+                let silent = lane.is_some_and(|lane| {
+                    let own = self.calls.values().filter(|call| call.endpoint == id).map(|call| call.sent);
+                    let all = self.calls.values().filter(|call| hold.endpoints.contains(&call.endpoint));
+                    let all = all.map(|call| call.sent);
+                    self.silent(lane, &at.health, own) || self.silent(lane, &lane.health, all)
+                });
                 if !at.running
+                    || silent
                     || !open
                     || passed.contains(&id)
                     || !(lane_down || at.health.open(self.now, at.out))
