--- a/src/rules.rs
+++ b/src/rules.rs
@@ -105,6 +105,8 @@
     sent: Moment,
     texts_out: usize,
     judged: bool,
+    /// The time-out was cut to a validity period.
+    cut_short: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -312,6 +314,12 @@
         self.slow
     }
 
+    /// How long an answer may take before its lack is taken for silence.
+    fn patience(&self) -> Span {
+        let usual = Span::from_millis((self.recent + self.spread) * SILENT_TIMES);
+        if self.recent > 0.0 { usual.max(SILENT_AT_LEAST) } else { SILENT_AT_LEAST * 2.0 }
+    }
+
     fn time_out(&self, sla_time: Span) -> Span {
         let expected = Span::from_millis(self.recent + 6.0 * self.spread);
         sla_time.max(expected) * f64::from(1 << self.time_outs.min(2))
@@ -605,6 +613,7 @@
         let Some(call_id) = text.out.take() else { return };
         let call = self.calls.get_mut(&call_id).expect("a submit that is out has its call");
         let (sent, endpoint) = (call.sent, call.endpoint);
+        let cut_short = call.cut_short;
         let first_word = !std::mem::replace(&mut call.judged, true);
         call.texts_out -= 1;
         let done = call.texts_out == 0;
@@ -622,7 +631,7 @@
             lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
         }
         if first_word {
-            self.judge(endpoint, sent, &outcome);
+            self.judge(endpoint, sent, cut_short, &outcome);
         }
         if done {
             self.calls.remove(&call_id);
@@ -638,7 +647,7 @@
         }
     }
 
-    fn judge(&mut self, endpoint_id: EndpointId, sent: Moment, outcome: &Outcome) {
+    fn judge(&mut self, endpoint_id: EndpointId, sent: Moment, cut_short: bool, outcome: &Outcome) {
         let now = self.now;
         let lane_id = self.lane_of(endpoint_id);
         let turn = self.turn(lane_id);
@@ -674,6 +683,10 @@
                 }
                 return;
             }
+            // A time-out cut to a short validity period says little: the answer may have been under way. Without
+            // this, texts that have little time left would mark a sound but unhurried receiver down.
+            Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
+            Verdict::TimeOut if cut_short => 1,
             Verdict::TimeOut => STRIKES_OUT,
             Verdict::Reset | Verdict::ConnectFailed | Verdict::Error => 2,
             Verdict::Full => 1,
@@ -738,9 +751,7 @@
     /// silent and very slow receivers, which would draw in a slot a call until the first time-out; it may hurt
     /// where one slow call among few is all that is wrong.
     fn silent(&self, lane: &Lane, health: &Health, calls: impl Iterator<Item = Moment>) -> bool {
-        let usual = Span::from_millis((lane.recent + lane.spread) * SILENT_TIMES);
-        let patience = if lane.recent > 0.0 { usual.max(SILENT_AT_LEAST) } else { SILENT_AT_LEAST * 2.0 };
-        calls.min().is_some_and(|sent| self.now.since(sent) > patience && health.last_ok <= sent)
+        calls.min().is_some_and(|sent| self.now.since(sent) > lane.patience() && health.last_ok <= sent)
     }
 
     fn pick(&self, fresh: bool, passed: &BTreeSet<EndpointId>) -> Option<(DestId, EndpointId)> {
@@ -813,6 +824,7 @@
         if chosen.is_empty() {
             return false;
         }
+        let mut cut_short = false;
         let call = self.next_call;
         self.next_call += 1;
         for &id in &chosen {
@@ -820,7 +832,9 @@
             let time_out = self.lanes[&lane_id].time_out(self.settings.products[product.0].sla_time);
             self.put(id, Place::Out);
             let text = self.texts.get_mut(&id).expect("chosen from the hold");
-            let time_out = time_out.min((text.valid_until - CUT_MARGIN).since(self.now));
+            let left = (text.valid_until - CUT_MARGIN).since(self.now);
+            cut_short |= left < time_out;
+            let time_out = time_out.min(left);
             text.submits += 1;
             text.out = Some(call);
             self.actions.push(Action::Submit { text: id, endpoint, time_out });
@@ -839,7 +853,10 @@
             lane.paced = lane.paced.max(self.now) + Span::from_millis(1000.0 / lane.pace);
         }
         lane.health.next = lane.health.next.max(self.now + lane_gap);
-        self.calls.insert(call, Call { endpoint, sent: self.now, texts_out: chosen.len(), judged: false });
+        self.calls.insert(
+            call,
+            Call { endpoint, sent: self.now, texts_out: chosen.len(), judged: false, cut_short },
+        );
         true
     }
 
