--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,7 +39,7 @@
 /// This part of the room for texts is kept free, so that a sick lane's hold doesn't shut out fresh texts.
 const ROOM_KEPT: f64 = 0.1;
 /// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a sender's
-/// equal share with each call delivered, and lets calls through early by this span.
+/// equal share in a second of calls delivered, and lets calls through early by this span.
 const PACE_CUT: f64 = 0.75;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(300);
@@ -674,7 +674,7 @@
                 if lane.pace > 0.0 {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
-                    lane.pace = (lane.pace + PACE_RISE * share).min(most);
+                    lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
                 }
                 if lane.learn(outcome.latency.as_millis()) {
                     lane.cut(now, sent);
