--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -54,6 +54,7 @@
     taken: usize,
     submits: std::collections::BTreeMap<usize, usize>,
     told: Option<f64>,
+    latency: i64,
 }
 
 fn entry(endpoint: usize, dest: usize, kind: usize, condition: Condition) -> Entry {
@@ -75,6 +76,7 @@
             taken: 0,
             submits: Default::default(),
             told: None,
+            latency: 100,
         };
         let list = |n, dest| entry(n, dest, kind, Condition::Running);
         bench.list(Scope::Persisted, vec![list(0, 0), list(1, 0), list(2, 1)]);
@@ -128,7 +130,7 @@
             endpoint,
             verdict,
             told_wait: wait.map(Span::millis),
-            latency: Span::millis(100),
+            latency: Span::millis(self.latency),
             ended: verdict == Verdict::Delivered,
             allowance: self.told.map(|rate| Allowance { share_left: 0.5, calls_per_sec: rate }),
         };
@@ -182,7 +184,10 @@
 #[test]
 fn window_is_halved_once_for_one_trouble() {
     for verdict in [Verdict::Full, Verdict::Error, Verdict::Reset] {
-        let mut bench = Bench::new(settings(), 0);
+        // A listed rate far above need keeps the pace out of the way.
+        let mut bench = Bench::new(Settings { listed_rate: ListedRate::Exact, ..settings() }, 0);
+        let fast = [0, 1].map(|n| Entry { units: 1000.0, ..entry(n, 0, 0, Condition::Running) });
+        bench.list(Scope::Complete, fast.to_vec());
         let out = submits(&bench.take(60, 0, 0));
         bench.now += 100.0;
         let mut left = out.len();
@@ -365,6 +370,37 @@
     }
 }
 
+#[test]
+fn a_time_out_cut_to_the_validity_period_is_no_outage() {
+    // how long the texts live, calls to the lane in the second after four unanswered ones
+    for (lives, least, most) in [(400.0, 2, 6), (30_000.0, 0, 1)] {
+        let mut bench = Bench::new(settings(), 0);
+        let events = (0..4).map(|_| bench.taken(0, 0, None, lives)).collect();
+        let out = submits(&bench.step(events));
+        bench.now += f64::min(lives, 2000.0);
+        for (text, endpoint) in out {
+            bench.latency = lives.min(2000.0) as i64;
+            bench.answer(text, endpoint, Verdict::TimeOut, None);
+        }
+        let mut sent = submits(&bench.take(10, 0, 0));
+        let done: Vec<Action> = bench.pass(1000.0).into_iter().map(|(_, a)| a).collect();
+        sent.extend(submits(&done));
+        assert!((least..=most).contains(&sent.len()), "{lives} ms: {}", sent.len());
+    }
+}
+
+#[test]
+fn a_long_silence_holds_the_lane() {
+    // when the next texts come after the unanswered call, whether they go out
+    for (after, goes) in [(300.0, true), (1500.0, false)] {
+        let mut bench = Bench::new(settings(), 0);
+        bench.take(1, 0, 1);
+        bench.pass(after);
+        assert_eq!(!submits(&bench.take(2, 0, 1)).is_empty(), goes, "{after} ms");
+        assert!(!submits(&bench.take(1, 0, 0)).is_empty(), "other lanes go on");
+    }
+}
+
 #[test]
 fn a_crowded_hold_leaves_room_for_the_rest() {
     let mut bench = Bench::new(settings(), 0);
