--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,9 +43,6 @@
 const PACE_CUT: f64 = 0.75;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(300);
-/// The rise is hastened by each second without a nack as full, up to this factor: where the other senders leave
-/// their part of a limit unused, an equal share is far too little for one that carries most of the traffic.
-const PACE_HASTE: f64 = 8.0;
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
@@ -219,7 +216,6 @@
     /// Calls a second that this sender allows itself; 0 while nothing limits it.
     pace: f64,
     paced: Moment,
-    full_at: Moment,
     /// Calls delivered in the present second, and the best second of late.
     second: Moment,
     count: f64,
@@ -263,7 +259,6 @@
             told_rate: 0.0,
             pace: 0.0,
             paced: Moment::DISTANT_PAST,
-            full_at: Moment::DISTANT_PAST,
             second: Moment::DISTANT_PAST,
             count: 0.0,
             best: 0.0,
@@ -679,8 +674,7 @@
                 if lane.pace > 0.0 {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
-                    let quiet = 1.0 + now.since(lane.full_at).as_secs().min(PACE_HASTE);
-                    lane.pace = (lane.pace + PACE_RISE * quiet * share / lane.pace.max(1.0)).min(most);
+                    lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
                 }
                 if lane.learn(outcome.latency.as_millis()) {
                     lane.cut(now, sent);
@@ -705,7 +699,6 @@
             let least = if known > 0.0 { known / senders / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
-            lane.full_at = now;
         }
         lane.cut(now, sent);
         endpoint.health.failed(now, sent, weight, jitter);
