--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,9 +43,6 @@
 const PACE_CUT: f64 = 0.75;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(300);
-/// Where less than this part of the allowance is told to be left, the pace eases by this factor, once a round trip.
-const LITTLE_LEFT: f64 = 0.15;
-const PACE_EASE: f64 = 0.9;
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
@@ -219,7 +216,6 @@
     /// Calls a second that this sender allows itself; 0 while nothing limits it.
     pace: f64,
     paced: Moment,
-    eased_at: Moment,
     /// Calls delivered in the present second, and the best second of late.
     second: Moment,
     count: f64,
@@ -263,7 +259,6 @@
             told_rate: 0.0,
             pace: 0.0,
             paced: Moment::DISTANT_PAST,
-            eased_at: Moment::DISTANT_PAST,
             second: Moment::DISTANT_PAST,
             count: 0.0,
             best: 0.0,
@@ -676,13 +671,7 @@
                 lane.health.succeeded(now, turn, cold);
                 lane.time_outs = 0;
                 lane.count_delivered(now);
-                // A receiver that tells its allowance is nearly spent will turn the next calls away.
-                let spent =
-                    outcome.allowance.is_some_and(|a| a.calls_per_sec > 0.0 && a.share_left < LITTLE_LEFT);
-                if spent && sent >= lane.eased_at {
-                    lane.eased_at = now;
-                    lane.pace *= PACE_EASE;
-                } else if lane.pace > 0.0 && !spent {
+                if lane.pace > 0.0 {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
                     lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
