--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,9 +28,9 @@
 const TRIAL_GROWTH: f64 = 1.6;
 const LONGEST_TRIAL: Span = Span::millis(2_500);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
-const STRIKES_OUT: u32 = 4;
+const STRIKES_OUT: u32 = 6;
 /// This part of a sender's share in the budget of a cold destination is used.
-const COLD_PART: f64 = 0.7;
+const COLD_PART: f64 = 0.95;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
@@ -688,7 +688,7 @@
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
             Verdict::TimeOut if cut_short => 1,
             Verdict::TimeOut => STRIKES_OUT,
-            Verdict::Reset | Verdict::ConnectFailed | Verdict::Error => 2,
+            Verdict::Reset | Verdict::ConnectFailed | Verdict::Error => 3,
             Verdict::Full => 1,
         };
         if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
