--- a/src/rules.rs
+++ b/src/rules.rs
@@ -661,7 +661,7 @@
         if let Some(allowance) = outcome.allowance {
             lane.told_rate = allowance.calls_per_sec;
             if lane.pace == 0.0 {
-                lane.pace = lane.told_rate / senders;
+                lane.pace = lane.told_rate * 2.0 / (senders + 1.0);
             }
         }
         let weight = match outcome.verdict {
@@ -805,7 +805,7 @@
     fn call(&mut self, dest: DestId, endpoint: EndpointId) -> bool {
         let lane_id = self.lane_of(endpoint);
         let slots = self.settings.slots;
-        let start = self.known_rate(lane_id) / self.settings.senders.max(1) as f64;
+        let start = self.known_rate(lane_id) * 2.0 / (self.settings.senders as f64 + 1.0);
         self.lanes.entry(lane_id).or_insert_with(|| Lane { pace: start, ..Lane::new(slots) });
         let at = &self.endpoints[&endpoint];
         let (kind, zone) = (at.kind, at.zone);
