--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,10 +43,6 @@
 const PACE_CUT: f64 = 0.75;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(300);
-/// Where more than this part of the allowance is told to be left, the pace rises so many times faster: an equal
-/// part of a limit is too little for a sender that carries most of the traffic.
-const MUCH_LEFT: f64 = 0.5;
-const PACE_HASTE: f64 = 6.0;
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
@@ -678,9 +674,7 @@
                 if lane.pace > 0.0 {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
-                    let room = outcome.allowance.is_some_and(|a| a.share_left > MUCH_LEFT);
-                    let rise = if room { PACE_HASTE * PACE_RISE } else { PACE_RISE };
-                    lane.pace = (lane.pace + rise * share / lane.pace.max(1.0)).min(most);
+                    lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
                 }
                 if lane.learn(outcome.latency.as_millis()) {
                     lane.cut(now, sent);
