--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,6 @@
 const PACE_CUT: f64 = 0.75;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(300);
-/// So many calls may always go ahead of the pace: a small part of a limit is used in lumps.
-const PACE_AHEAD: f64 = 1.0;
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
@@ -274,7 +272,7 @@
 
     fn open(&self, now: Moment, slots: usize) -> bool {
         now >= self.wait_until
-            && (self.pace == 0.0 || now + PACE_EARLY.max(Span::from_millis(1000.0 * PACE_AHEAD / self.pace)) >= self.paced)
+            && (self.pace == 0.0 || now + PACE_EARLY >= self.paced)
             && self.out < self.window.min(self.cap(slots))
             && self.health.open(now, self.out)
     }
