A steadier pace: cut by 0.8, at most 100 ms ahead

Cause: every nack as full costs a submit, a cut window and often a told wait; calls let through early in lumps are those turned away.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,9 +40,9 @@
 const ROOM_KEPT: f64 = 0.1;
 /// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a sender's
 /// equal share in a second of calls delivered, and lets calls through early by this span.
-const PACE_CUT: f64 = 0.75;
+const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.05;
-const PACE_EARLY: Span = Span::millis(300);
+const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
