A trial call carries one text, one submitted before rather than a fresh one

Also keeps once-only texts out of trials, which would end them; it may hurt where a receiver was never down.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -810,7 +810,10 @@
         let at = &self.endpoints[&endpoint];
         let (kind, zone) = (at.kind, at.zone);
         let hold = &self.holds[&dest];
-        let most = self.settings.kinds[kind.0].texts_per_call;
+        // A trial call most likely fails and leaves its texts in doubt: one text is enough to ask, one that has
+        // been submitted before rather than a fresh one, and a once-only text, which would be lost, last of all.
+        let down = self.lanes[&lane_id].health.state == State::Down;
+        let most = if down { 1 } else { self.settings.kinds[kind.0].texts_per_call };
         let takes = |id: &&TextId| {
             let text = &self.texts[*id];
             let one_zone = matches!(
@@ -819,8 +822,13 @@
             );
             self.may_go_again(text) && !(one_zone && text.doubt.is_some_and(|(_, first)| first != zone))
         };
-        let chosen = hold.fresh.iter().rev().chain(hold.ready.iter().rev()).filter(takes).take(most);
-        let chosen: Vec<TextId> = chosen.copied().collect();
+        let mut chosen: Vec<&TextId> = hold.fresh.iter().rev().chain(hold.ready.iter().rev()).collect();
+        if down {
+            let once_only =
+                |id: &TextId| self.settings.products[self.texts[id].product.0].repeat == Repeat::OnceOnly;
+            chosen.sort_by_key(|id| (once_only(id), !hold.ready.contains(id)));
+        }
+        let chosen: Vec<TextId> = chosen.into_iter().filter(takes).take(most).copied().collect();
         if chosen.is_empty() {
             return false;
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -424,3 +424,20 @@
     let done: Vec<Action> = bench.pass(2000.0).into_iter().map(|(_, a)| a).collect();
     assert_eq!(submits(&done).len(), 1, "one trial, which has no answer yet");
 }
+
+#[test]
+fn a_trial_risks_one_text_that_was_submitted_before() {
+    // product of the texts that come during the outage, kind
+    for (product, kind) in [(0, 0), (1, 1), (2, 0), (2, 1)] {
+        let mut bench = Bench::new(settings(), kind);
+        let out = submits(&bench.take(4, 1, 1));
+        bench.now += 2000.0;
+        for (text, endpoint) in out {
+            bench.answer(text, endpoint, Verdict::TimeOut, None);
+        }
+        let mut sent = submits(&bench.take(5, product, 1));
+        let done: Vec<Action> = bench.pass(1500.0).into_iter().map(|(_, a)| a).collect();
+        sent.extend(submits(&done));
+        assert!(sent.len() == 1 && sent[0].0 < 4, "product {product}, kind {kind}: {sent:?}");
+    }
+}
