Only trials lengthen the pause between trials

Cause, found by the test of the change before (which that commit left failing): each call already out when an outage was noticed lengthened the pause, so a window of four made the first trial wait four times as long.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -152,6 +152,10 @@
 
     fn failed(&mut self, now: Moment, sent: Moment, weight: u32, jitter: f64) {
         if self.state == State::Down {
+            // Only trials lengthen the pause; calls that were out when the outage was noticed do not.
+            if sent < self.since {
+                return;
+            }
             self.gap = (self.gap * TRIAL_GROWTH).min(LONGEST_TRIAL);
             self.next = self.next.max(now + self.gap * jitter);
             return;
