--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,8 +29,9 @@
 const LONGEST_TRIAL: Span = Span::millis(2_500);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
-/// This part of a sender's share in the budget of a cold destination is used.
-const COLD_PART: f64 = 0.95;
+/// This part of an equal share in the budget of a cold destination is used. It may exceed 1: the budget goes by
+/// capacity, and the rate known here is a limit or what was delivered, both under it; the others seldom use theirs.
+const COLD_PART: f64 = 1.2;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
