--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,7 @@
 //! The interface of the decisions: what a carrier tells them and what they answer.
 //!
-//! Ids are small indices which the carrier hands out. A [`TextId`] must grow with the order in which texts are
-//! taken; the other ids count up from 0, each in its own list.
+//! Ids are small indices which the carrier hands out. A [`TextId`] must grow with the order in which texts
+//! are taken; the other ids count up from 0, each in its own list.
 
 use crate::time::{Moment, Span};
 
@@ -17,8 +17,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
     Resendable,
-    /// The text bears a mark by which a repeat is dropped for `memory`, by all endpoints of its destination or
-    /// by those of one zone.
+    /// The text bears a mark by which a repeat is dropped for `memory`, by all endpoints of its destination
+    /// or by those of one zone.
     Referenced {
         memory: Span,
         one_zone: bool,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,8 +1,8 @@
 //! Every decision on a text: whether, when, where and how often it is submitted, and how it ends.
 //!
-//! Make a [`Rules`] from the settings and a seed, then hand [`Rules::step`] what happened at one moment and carry
-//! out what it returns, in order. Events and actions are in [`crate::api`]. `docs/design.md` tells which page the
-//! ordinary path follows and where it departs from it.
+//! Make a [`Rules`] from the settings and a seed, then hand [`Rules::step`] what happened at one moment and
+//! carry out what it returns, in order. Events and actions are in [`crate::api`]. `docs/design.md` tells
+//! which page the ordinary path follows and where it departs from it.
 
 use crate::api::*;
 use crate::chance::Chance;
@@ -29,8 +29,9 @@
 const LONGEST_TRIAL: Span = Span::millis(2_500);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
-/// This part of an equal share in the budget of a cold destination is used. It may exceed 1: the budget goes by
-/// capacity, and the rate known here is a limit or what was delivered, both under it; the others seldom use theirs.
+/// This part of an equal share in the budget of a cold destination is used. It may exceed 1: the budget goes
+/// by capacity, and the rate known here is a limit or what was delivered, both under it; the others seldom
+/// use theirs.
 const COLD_PART: f64 = 1.2;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
@@ -39,8 +40,8 @@
 const RISEN_BY: f64 = 150.0;
 /// This part of the room for texts is kept free, so that a sick lane's hold doesn't shut out fresh texts.
 const ROOM_KEPT: f64 = 0.1;
-/// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a sender's
-/// equal share in a second of calls delivered, and lets calls through early by this span.
+/// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a
+/// sender's equal share in a second of calls delivered, and lets calls through early by this span.
 const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(100);
@@ -475,7 +476,8 @@
         text.place = place;
     }
 
-    /// Gives the turn of a key to the next text in line, once the last one is ended and its submits are known.
+    /// Gives the turn of a key to the next text in line, once the last one is ended and its submits are
+    /// known.
     fn advance(&mut self, key: KeyId) {
         let Some(keyed) = self.keys.get_mut(&key) else { return };
         let texts = &self.texts;
@@ -550,8 +552,9 @@
     }
 
     /// Guards against any receiver, sick or crowded, whose texts fill the room for all: beyond it texts are
-    /// turned away unseen, those for sound receivers too. The longest hold gives up its stalest text, while it can
-    /// still be handed in again. It may hurt where clients never come again and the hold would have emptied soon.
+    /// turned away unseen, those for sound receivers too. The longest hold gives up its stalest text, while
+    /// it can still be handed in again. It may hurt where clients never come again and the hold would have
+    /// emptied soon.
     fn make_room(&mut self) {
         let kept = ((self.settings.max_held as f64 * ROOM_KEPT) as usize).max(1);
         let mut held: usize = self.holds.values().map(|hold| hold.held).sum();
@@ -688,8 +691,8 @@
                 }
                 return;
             }
-            // A time-out cut to a short validity period says little: the answer may have been under way. Without
-            // this, texts that have little time left would mark a sound but unhurried receiver down.
+            // A time-out cut to a short validity period says little: the answer may have been under way.
+            // Without this, texts that have little time left would mark a sound but unhurried receiver down.
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
             Verdict::TimeOut if cut_short => 1,
             Verdict::TimeOut => STRIKES_OUT,
@@ -717,7 +720,8 @@
         (at.dest, self.settings.kinds[at.kind.0].routes_apart.then_some(endpoint))
     }
 
-    /// Calls a second that the lane's receiver takes from all senders by its list or its own word; 0 if unknown.
+    /// Calls a second that the lane's receiver takes from all senders by its list or its own word; 0 if
+    /// unknown.
     fn known_rate(&self, id: LaneId) -> f64 {
         let told = self.lanes.get(&id).map_or(0.0, |lane| lane.told_rate);
         let listed = self.endpoints.iter().filter(|(e, at)| at.dest == id.0 && id.1.is_none_or(|r| r == **e));
@@ -746,15 +750,16 @@
         Span::from_millis(1000.0 * self.settings.senders as f64 / budget.max(1e-3))
     }
 
-    /// Senders take turns at what has just come back: each starts its part of the gap later than the one before.
+    /// Senders take turns at what has just come back: each starts its part of the gap later than the one
+    /// before.
     fn turn(&self, id: LaneId) -> Span {
         let part = (self.settings.ordinal + 1) as f64 / self.settings.senders.max(1) as f64;
         self.cold_gap(id, self.now) * part
     }
 
-    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung,
-    /// silent and very slow receivers, which would draw in a slot a call until the first time-out; it may hurt
-    /// where one slow call among few is all that is wrong.
+    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against
+    /// hung, silent and very slow receivers, which would draw in a slot a call until the first time-out; it
+    /// may hurt where one slow call among few is all that is wrong.
     fn silent(&self, lane: &Lane, health: &Health, calls: impl Iterator<Item = Moment>) -> bool {
         calls.min().is_some_and(|sent| self.now.since(sent) > lane.patience() && health.last_ok <= sent)
     }
@@ -815,8 +820,9 @@
         let at = &self.endpoints[&endpoint];
         let (kind, zone) = (at.kind, at.zone);
         let hold = &self.holds[&dest];
-        // A trial call most likely fails and leaves its texts in doubt: one text is enough to ask, one that has
-        // been submitted before rather than a fresh one, and a once-only text, which would be lost, last of all.
+        // A trial call most likely fails and leaves its texts in doubt: one text is enough to ask, one that
+        // has been submitted before rather than a fresh one, and a once-only text, which would be lost, last
+        // of all.
         let down = self.lanes[&lane_id].health.state == State::Down;
         let most = if down { 1 } else { self.settings.kinds[kind.0].texts_per_call };
         let takes = |id: &&TextId| {
