--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -119,7 +119,7 @@
     }
 }
 
-fn settings(info: &wire::BootInfo, zone: ZoneId) -> Settings {
+fn settings(info: &wire::BootInfo) -> Settings {
     let product = |category: &wire::Category| Product {
         sla_time: Span::from_millis(category.objective_ms),
         repeat: match category.repeat {
@@ -144,7 +144,6 @@
         max_submits: info.ceilings.max_attempts,
         products: info.categories.iter().map(product).collect(),
         kinds: (0..info.kinds.len()).map(kind).collect(),
-        zone,
         listed_rate: match info.weight_kind {
             wire::WeightKind::Nominal => ListedRate::Exact,
             wire::WeightKind::Rough => ListedRate::Rough,
@@ -156,12 +155,10 @@
             .ceilings
             .retry_after
             .then(|| Span::from_millis(info.ceilings.max_retry_after_ms)),
-        keepalive: Span::from_millis(info.ceilings.keepalive_ms),
         tick: Span::from_millis(info.tick_ms),
         cold_share: info.obligations.cold_share,
         cold_span: Span::from_millis(info.obligations.cold_ms),
         tip_multiple: info.obligations.tip_multiple,
-        fall_span: Span::from_millis(info.obligations.fall_ms),
         rest_after_doubt: Span::from_millis(info.obligations.settle_after_doubt_ms),
     }
 }
@@ -194,9 +191,8 @@
     fn new(up: wire::Up) -> Result<Instance, Complaint> {
         let info = up.boot_info;
         let zones = Names::of(info.localities.clone());
-        let zone = ZoneId(zones.find(&info.zone, "boot-info.zone")?);
         Ok(Instance {
-            rules: Rules::new(settings(&info, zone), up.seed as u64),
+            rules: Rules::new(settings(&info), up.seed as u64),
             texts: Names::of(Vec::new()),
             endpoints: Names::of(Vec::new()),
             dests: Names::of(Vec::new()),
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -40,7 +40,6 @@
     pub categories: Vec<Category>,
     pub kinds: Vec<String>,
     pub localities: Vec<String>,
-    pub zone: String,
     pub family_info: FamilyInfo,
     pub membership_mode: MembershipMode,
     pub obligations: Obligations,
@@ -103,7 +102,6 @@
     pub cold_share: f64,
     pub cold_ms: f64,
     pub tip_multiple: f64,
-    pub fall_ms: f64,
     #[serde(default)]
     pub must_ask_in_ms: f64,
     #[serde(default)]
@@ -115,7 +113,6 @@
 pub struct Ceilings {
     pub max_attempts: usize,
     pub most_held: usize,
-    pub keepalive_ms: f64,
     #[serde(default)]
     pub retry_after: bool,
     #[serde(default)]
--- a/src/api.rs
+++ b/src/api.rs
@@ -57,19 +57,16 @@
     pub max_submits: usize,
     pub products: Vec<Product>,
     pub kinds: Vec<Kind>,
-    pub zone: ZoneId,
     pub listed_rate: ListedRate,
     /// Changes of the list come only to those who subscribed.
     pub must_subscribe: bool,
     /// How long a sender may go without asking for the list, where it must ask.
     pub must_ask_in: Span,
     pub longest_advice: Option<Span>,
-    pub keepalive: Span,
     pub tick: Span,
     pub cold_share: f64,
     pub cold_span: Span,
     pub tip_multiple: f64,
-    pub fall_span: Span,
     pub rest_after_doubt: Span,
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -32,17 +32,14 @@
             Kind { routes_apart: false, texts_per_call: 4 },
             Kind { routes_apart: true, texts_per_call: 1 },
         ],
-        zone: ZoneId(0),
         listed_rate: ListedRate::Silent,
         must_subscribe: false,
         must_ask_in: Span::millis(10_000),
         longest_advice: Some(Span::millis(2000)),
-        keepalive: Span::millis(5000),
         tick: Span::millis(5),
         cold_share: 0.2,
         cold_span: Span::millis(10_000),
         tip_multiple: 2.0,
-        fall_span: Span::millis(2000),
         rest_after_doubt: Span::millis(100),
     }
 }
