--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,8 +45,6 @@
 const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(100);
-/// The pace falls no further than this part of an equal one. Kept low: a receiver may take far less than it says.
-const LEAST_PART: f64 = 0.1;
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
@@ -706,7 +704,7 @@
         }
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
             let from = if lane.pace > 0.0 { lane.pace } else { lane.best.max(lane.count).max(1.0) };
-            let least = if known > 0.0 { known / senders * LEAST_PART } else { LEAST_PACE };
+            let least = if known > 0.0 { known / senders / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
         }
