--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,10 +45,6 @@
 const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(100);
-/// A second full with nothing delivered between cuts deeper: the receiver takes far less than it says.
-const PACE_CUT_AGAIN: f64 = 0.5;
-/// The pace falls no further than this part of an equal one.
-const LEAST_PART: f64 = 0.1;
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
@@ -226,7 +222,6 @@
     /// Calls a second that this sender allows itself; 0 while nothing limits it.
     pace: f64,
     paced: Moment,
-    full_at: Moment,
     /// Calls delivered in the present second, and the best second of late.
     second: Moment,
     count: f64,
@@ -270,7 +265,6 @@
             told_rate: 0.0,
             pace: 0.0,
             paced: Moment::DISTANT_PAST,
-            full_at: Moment::DISTANT_PAST,
             second: Moment::DISTANT_PAST,
             count: 0.0,
             best: 0.0,
@@ -710,10 +704,8 @@
         }
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
             let from = if lane.pace > 0.0 { lane.pace } else { lane.best.max(lane.count).max(1.0) };
-            let least = if known > 0.0 { known / senders * LEAST_PART } else { LEAST_PACE };
-            let again = lane.full_at > lane.health.last_ok;
-            lane.pace = (from * if again { PACE_CUT_AGAIN } else { PACE_CUT }).max(least);
-            lane.full_at = now;
+            let least = if known > 0.0 { known / senders / 2.0 } else { LEAST_PACE };
+            lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
         }
         lane.cut(now, sent);
