--- a/src/rules.rs
+++ b/src/rules.rs
@@ -635,8 +635,15 @@
         if let Some(wait) = outcome.told_wait {
             // Each text of a call may be told its own wait; the longest holds them all.
             let lane = self.lane_of(endpoint);
+            let known = self.known_rate(lane);
             let lane = self.lanes.get_mut(&lane).expect("a lane with calls out stays");
             lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
+            // All who were told to wait come back at the same moment, and those turned away may use up the limit
+            // again: senders take turns by their own number, a call of the known rate apart.
+            if known > 0.0 {
+                let turn = Span::from_millis(1000.0 * self.settings.ordinal as f64 / known);
+                lane.paced = lane.paced.max(lane.wait_until + turn);
+            }
         }
         if first_word {
             self.judge(endpoint, sent, cut_short, &outcome);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -438,3 +438,18 @@
         assert!(sent.len() == 1 && sent[0].0 < 4, "product {product}, kind {kind}: {sent:?}");
     }
 }
+
+#[test]
+fn senders_come_back_from_a_told_wait_in_turn() {
+    // sender's number, when its first call goes out after a wait of a second where two calls a second are listed
+    for (ordinal, earliest, latest) in [(0, 1000.0, 1200.0), (1, 1400.0, 1700.0), (2, 1900.0, 2200.0)] {
+        let with = Settings { ordinal, senders: 3, listed_rate: ListedRate::Exact, ..settings() };
+        let mut bench = Bench::new(with, 0);
+        bench.list(Scope::Complete, vec![Entry { units: 2.0, ..entry(0, 0, 0, Condition::Running) }]);
+        let (text, endpoint) = submits(&bench.take(1, 0, 0))[0];
+        bench.answer(text, endpoint, Verdict::Full, Some(1000));
+        let done = bench.pass(4000.0);
+        let first = done.iter().find(|(_, a)| matches!(a, Action::Submit { .. })).map(|(at, _)| *at);
+        assert!(first.is_some_and(|at| at >= earliest && at <= latest), "sender {ordinal}: {first:?}");
+    }
+}
