--- a/src/rules.rs
+++ b/src/rules.rs
@@ -152,7 +152,7 @@
         }
     }
 
-    fn failed(&mut self, now: Moment, sent: Moment, weight: u32, jitter: f64) {
+    fn failed(&mut self, now: Moment, sent: Moment, weight: u32, silent: bool, jitter: f64) {
         if self.state == State::Down {
             // Only trials lengthen the pause; calls that were out when the outage was noticed do not.
             if sent < self.since {
@@ -163,8 +163,9 @@
             return;
         }
         // An answer that came after this call had left shows the receiver alive: a single loss is no outage.
-        // Calls that left before the last strike was known tell of the same trouble once more.
-        if self.last_ok >= sent || sent < self.struck_at {
+        // Calls that left before the last strike was known tell of the same trouble once more; but two time-outs,
+        // unlike one lost answer, are silence.
+        if self.last_ok >= sent || (sent < self.struck_at && !silent) {
             return;
         }
         self.strikes += weight;
@@ -702,8 +703,7 @@
             // Without this, texts that have little time left would mark a sound but unhurried receiver down.
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
             Verdict::TimeOut if cut_short => 1,
-            Verdict::TimeOut => STRIKES_OUT,
-            Verdict::Reset | Verdict::ConnectFailed | Verdict::Error => 3,
+            Verdict::TimeOut | Verdict::Reset | Verdict::ConnectFailed | Verdict::Error => 3,
             Verdict::Full => 1,
         };
         if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
@@ -716,8 +716,9 @@
             lane.paced = lane.paced.max(now);
         }
         lane.cut(now, sent);
-        endpoint.health.failed(now, sent, weight, jitter);
-        lane.health.failed(now, sent, weight, jitter);
+        let silent = outcome.verdict == Verdict::TimeOut && !cut_short;
+        endpoint.health.failed(now, sent, weight, silent, jitter);
+        lane.health.failed(now, sent, weight, silent, jitter);
     }
 
     // Which call goes out next.
