--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,8 +49,6 @@
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
 const SILENT_AT_LEAST: Span = Span::millis(500);
-/// A nack names a time to come back that grows with the hold, by so many texts a second.
-const CROWD_PER_SEC: f64 = 5.0;
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
@@ -546,9 +544,7 @@
             let until =
                 self.lanes.iter().filter(|(id, _)| id.0 == text.dest).map(|(_, l)| held_until(l)).min();
             let wait = until.map_or(Span::ZERO, |until| until.since(self.now));
-            // A text that came back at once to a crowded hold would only be given up again.
-            let crowd = Span::from_millis(1000.0 * self.holds[&text.dest].held as f64 / CROWD_PER_SEC);
-            let advice = self.settings.longest_advice.map(|most| wait.max(crowd).max(FIRST_PAUSE).min(most));
+            let advice = self.settings.longest_advice.map(|most| wait.max(FIRST_PAUSE).min(most));
             self.actions.push(Action::Nack { text: id, come_back_after: advice });
         } else {
             self.actions.push(Action::Undeliverable { text: id });
