Trials at most 1.2 s apart, but never closer than the gap of the coldest receiver

Cause: the gap of a trial was reckoned as if the receiver had warmed since it went down; with ten senders trials alone could spend its budget (rule 4), with two they came later than needed.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,7 +26,7 @@
 /// First pause between trial calls to what is held to be down, its growth and its end.
 const FIRST_TRIAL: Span = Span::millis(400);
 const TRIAL_GROWTH: f64 = 1.6;
-const LONGEST_TRIAL: Span = Span::millis(2_500);
+const LONGEST_TRIAL: Span = Span::millis(1_200);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
 /// This part of an equal share in the budget of a cold destination is used. It may exceed 1: the budget goes
@@ -866,9 +866,11 @@
             text.out = Some(call);
             self.actions.push(Action::Submit { text: id, endpoint, time_out });
         }
-        let lane_gap = self.cold_gap(lane_id, self.lanes[&lane_id].health.since);
+        // What is down may have come back this very moment, as cold as it can be.
+        let warm_from = |health: &Health| if health.state == State::Down { self.now } else { health.since };
+        let lane_gap = self.cold_gap(lane_id, warm_from(&self.lanes[&lane_id].health));
         let parts = hold_size(&self.holds[&dest], &self.endpoints) as f64;
-        let own_gap = self.cold_gap(lane_id, self.endpoints[&endpoint].health.since) * parts;
+        let own_gap = self.cold_gap(lane_id, warm_from(&self.endpoints[&endpoint].health)) * parts;
         let at = self.endpoints.get_mut(&endpoint).expect("known");
         at.out += 1;
         at.last_used = self.now;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -470,3 +470,26 @@
         assert_eq!(sent.len() <= 1, down, "{lost} lost: {sent:?}");
     }
 }
+
+#[test]
+fn trials_stay_inside_the_budget_of_a_cold_receiver() {
+    // senders, least pause between trials: senders / (1.2 x tip multiple x cold share x listed rate)
+    for (senders, least) in [(2, 1000.0), (10, 5000.0)] {
+        let mut bench = Bench::new(Settings { senders, listed_rate: ListedRate::Exact, ..settings() }, 0);
+        bench.list(Scope::Complete, vec![Entry { units: 4.0, ..entry(2, 1, 0, Condition::Running) }]);
+        let mut out = submits(&bench.take(5, 0, 1));
+        let mut trials = Vec::new();
+        while bench.now < 19_000.0 {
+            let done = std::mem::take(&mut out)
+                .into_iter()
+                .map(|(text, endpoint)| submits(&bench.answer(text, endpoint, Verdict::ConnectFailed, None)));
+            out = done.flatten().collect();
+            let passed: Vec<Action> = bench.pass(50.0).into_iter().map(|(_, a)| a).collect();
+            out.extend(submits(&passed));
+            trials.extend(out.iter().map(|_| bench.now));
+        }
+        // The first calls tell of the outage; trials follow.
+        let pauses: Vec<f64> = trials.windows(2).skip(3).map(|w| w[1] - w[0]).collect();
+        assert!(!pauses.is_empty() && pauses.iter().all(|p| *p >= least), "{senders} senders: {trials:?}");
+    }
+}
