Six errors in a row mark a lane down, not two

Also holds for single bad texts at a sound receiver; it may hurt where all calls fail at once, by a few texts more in doubt.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -493,3 +493,27 @@
         assert!(!pauses.is_empty() && pauses.iter().all(|p| *p >= least), "{senders} senders: {trials:?}");
     }
 }
+
+#[test]
+fn outcomes_in_a_row_that_mark_a_lane_down() {
+    for (verdict, strikes) in [
+        (Verdict::TimeOut, 2),
+        (Verdict::Reset, 2),
+        (Verdict::ConnectFailed, 2),
+        (Verdict::Error, 6),
+        (Verdict::Full, 6),
+    ] {
+        let mut bench = Bench::new(Settings { listed_rate: ListedRate::Exact, ..settings() }, 0);
+        bench.list(Scope::Complete, vec![Entry { units: 500.0, ..entry(2, 1, 0, Condition::Running) }]);
+        let mut out = submits(&bench.take(1, 0, 1));
+        let mut bad = 0;
+        // A fresh text goes out at once until the lane is held to be down.
+        while let Some((text, endpoint)) = out.pop() {
+            bench.now += 20.0;
+            bench.answer(text, endpoint, verdict, None);
+            bad += 1;
+            out = submits(&bench.take(1, 0, 1));
+        }
+        assert_eq!(bad, strikes, "{verdict:?}");
+    }
+}
