--- a/src/rules.rs
+++ b/src/rules.rs
@@ -329,7 +329,7 @@
 
     fn time_out(&self, sla_time: Span) -> Span {
         let expected = Span::from_millis(self.recent + 6.0 * self.spread);
-        sla_time.max(expected.min(sla_time * 2.0)) * f64::from(1 << self.time_outs.min(1))
+        sla_time.max(expected) * f64::from(1 << self.time_outs.min(2))
     }
 }
 
