Texts in doubt go first shortly before their receiver forgets them

It departs from fresh first in the last 2.5 s only; it may hurt where a receiver is so short that each such text costs a fresh one its SLA time.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,6 +20,8 @@
 const CUT_MARGIN: Span = Span::millis(6);
 /// A referenced text is not sent again so close to the end of its receiver's memory.
 const MEMORY_MARGIN: Span = Span::millis(300);
+/// A text in doubt goes before fresh ones when its receiver will forget it this soon.
+const FADING: Span = Span::millis(2_500);
 /// First pause of a rescheduled text; it doubles from submit to submit up to the longest.
 const FIRST_PAUSE: Span = Span::millis(250);
 const LONGEST_PAUSE: Span = Span::millis(8_000);
@@ -846,6 +848,12 @@
             let once_only =
                 |id: &TextId| self.settings.products[self.texts[id].product.0].repeat == Repeat::OnceOnly;
             chosen.sort_by_key(|id| (once_only(id), !hold.ready.contains(id)));
+        } else {
+            // A text in doubt that waits behind fresh ones is forgotten by its receiver and can't go again.
+            let fading = |id: &TextId| {
+                self.memory_ends(&self.texts[id]).is_some_and(|end| end.since(self.now) < FADING)
+            };
+            chosen.sort_by_key(|id| !fading(id));
         }
         let chosen: Vec<TextId> = chosen.into_iter().filter(takes).take(most).copied().collect();
         if chosen.is_empty() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -517,3 +517,25 @@
         assert_eq!(bad, strikes, "{verdict:?}");
     }
 }
+
+#[test]
+fn a_text_in_doubt_goes_before_it_is_forgotten() {
+    // product of the text in doubt, when it is submitted again while fresh texts never run out
+    for (product, from, to) in [(1, 7_000.0, 9_700.0), (0, 30_000.0, 0.0)] {
+        let mut bench = Bench::new(Settings { slots: 2, ..settings() }, 0);
+        let mut out = submits(&bench.take(1, product, 1));
+        let mut verdict = Verdict::Reset;
+        let mut again = Vec::new();
+        while bench.now < 15_000.0 {
+            bench.now += 300.0;
+            bench.take(2, 0, 1);
+            for (text, endpoint) in std::mem::take(&mut out) {
+                out = submits(&bench.answer(text, endpoint, verdict, None));
+            }
+            verdict = Verdict::Delivered;
+            again.extend(out.iter().filter(|(text, _)| *text == 0).map(|_| bench.now));
+        }
+        let fits = again.iter().all(|at| (from..to).contains(at)) && again.is_empty() == (from > to);
+        assert!(fits, "product {product}: {again:?}");
+    }
+}
