--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,8 +31,6 @@
 const LONGEST_TRIAL: Span = Span::millis(1_200);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
-/// Nacks as full don't count as strikes so soon after a delivery.
-const OPEN_LATELY: Span = Span::millis(2_000);
 /// This part of an equal share in the budget of a cold destination is used. It may exceed 1: the budget goes
 /// by capacity, and the rate known here is a limit or what was delivered, both under it; the others seldom
 /// use theirs.
@@ -707,8 +705,6 @@
             // Without this, texts that have little time left would mark a sound but unhurried receiver down.
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
             Verdict::TimeOut if cut_short => 1,
-            // A limit lets calls through now and then, a shut door none.
-            Verdict::Full if now.since(lane.health.last_ok) < OPEN_LATELY => 0,
             Verdict::Error | Verdict::Full => 1,
             Verdict::TimeOut | Verdict::Reset | Verdict::ConnectFailed => 3,
         };
