--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,9 +47,6 @@
 const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.05;
 const PACE_EARLY: Span = Span::millis(100);
-/// After so long without a full the pace rises faster.
-const CALM: Span = Span::millis(5_000);
-const CALM_RISE: f64 = 0.15;
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
@@ -228,7 +225,6 @@
     /// Calls a second that this sender allows itself; 0 while nothing limits it.
     pace: f64,
     paced: Moment,
-    full_at: Moment,
     /// Calls delivered in the present second, and the best second of late.
     second: Moment,
     count: f64,
@@ -272,7 +268,6 @@
             told_rate: 0.0,
             pace: 0.0,
             paced: Moment::DISTANT_PAST,
-            full_at: Moment::DISTANT_PAST,
             second: Moment::DISTANT_PAST,
             count: 0.0,
             best: 0.0,
@@ -697,9 +692,7 @@
                 if lane.pace > 0.0 {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
-                    let calm = now.since(lane.full_at) > CALM;
-                    let rise = if calm { CALM_RISE } else { PACE_RISE };
-                    lane.pace = (lane.pace + rise * share / lane.pace.max(1.0)).min(most);
+                    lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
                 }
                 if lane.learn(outcome.latency.as_millis()) {
                     lane.cut(now, sent);
@@ -723,7 +716,6 @@
             let least = if known > 0.0 { known / senders / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
-            lane.full_at = now;
         }
         lane.cut(now, sent);
         let silent = outcome.verdict == Verdict::TimeOut && !cut_short;
