--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,7 +45,7 @@
 /// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a
 /// sender's equal share in a second of calls delivered, and lets calls through early by this span.
 const PACE_CUT: f64 = 0.8;
-const PACE_RISE: f64 = 0.05;
+const PACE_RISE: f64 = 0.1;
 const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
@@ -670,6 +670,9 @@
         let lane_id = self.lane_of(endpoint_id);
         let turn = self.turn(lane_id);
         let cold = self.settings.cold_span;
+        // A pace that nothing pressed against has shown nothing.
+        let backlog =
+            self.holds.get(&lane_id.0).is_some_and(|hold| !hold.fresh.is_empty() || !hold.ready.is_empty());
         let known = self.known_rate(lane_id);
         let senders = self.settings.senders.max(1) as f64;
         let jitter = 0.8 + 0.4 * self.chance.share();
@@ -689,7 +692,7 @@
                 lane.health.succeeded(now, turn, cold);
                 lane.time_outs = 0;
                 lane.count_delivered(now);
-                if lane.pace > 0.0 {
+                if lane.pace > 0.0 && backlog {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
                     lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -539,3 +539,28 @@
         assert!(fits, "product {product}: {again:?}");
     }
 }
+
+#[test]
+fn a_pace_rises_only_where_texts_wait() {
+    // texts at a time over half a minute, calls in the two seconds of the clump that follows
+    for (at_a_time, least, most) in [(1, 7, 9), (8, 11, 13)] {
+        let with = Settings { slots: 20, listed_rate: ListedRate::Exact, ..settings() };
+        let mut bench = Bench::new(with, 0);
+        bench.list(Scope::Complete, vec![Entry { units: 6.0, ..entry(2, 1, 0, Condition::Running) }]);
+        let mut out = Vec::new();
+        let mut clump = 0;
+        for half_second in 0..64 {
+            let count = if half_second < 60 { at_a_time } else { 40 };
+            out.extend(submits(&bench.take(count, 0, 1)));
+            for _ in 0..10 {
+                clump += if half_second < 60 { 0 } else { out.len() };
+                for (text, endpoint) in std::mem::take(&mut out) {
+                    out.extend(submits(&bench.answer(text, endpoint, Verdict::Delivered, None)));
+                }
+                let done: Vec<Action> = bench.pass(50.0).into_iter().map(|(_, a)| a).collect();
+                out.extend(submits(&done));
+            }
+        }
+        assert!((least..=most).contains(&clump), "{at_a_time} at a time: {clump}");
+    }
+}
