--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,8 @@
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
 const RISEN: f64 = 2.5;
 const RISEN_BY: f64 = 150.0;
+/// Lanes used so lately tell how far answer times have risen in common.
+const LATELY: Span = Span::millis(3_000);
 /// This part of the room for texts is kept free, so that a sick lane's hold doesn't shut out fresh texts.
 const ROOM_KEPT: f64 = 0.1;
 /// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a
@@ -312,14 +314,14 @@
         self.count += 1.0;
     }
 
-    fn learn(&mut self, latency: f64) -> bool {
+    fn learn(&mut self, latency: f64, common: f64) -> bool {
         if self.usual == 0.0 {
             (self.usual, self.recent, self.spread) = (latency, latency, latency / 2.0);
         }
         self.spread += ((latency - self.recent).abs() - self.spread) / 8.0;
         self.usual += (latency - self.usual) / 32.0;
         self.recent += (latency - self.recent) / 4.0;
-        self.slow = self.recent > self.usual * RISEN && self.recent > self.usual + RISEN_BY;
+        self.slow = self.recent > self.usual * RISEN * common && self.recent > self.usual * common + RISEN_BY;
         self.slow
     }
 
@@ -670,6 +672,7 @@
         let lane_id = self.lane_of(endpoint_id);
         let turn = self.turn(lane_id);
         let cold = self.settings.cold_span;
+        let common = self.common_rise();
         // A pace that nothing pressed against has shown nothing.
         let backlog =
             self.holds.get(&lane_id.0).is_some_and(|hold| !hold.fresh.is_empty() || !hold.ready.is_empty());
@@ -697,7 +700,7 @@
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
                     lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
                 }
-                if lane.learn(outcome.latency.as_millis()) {
+                if lane.learn(outcome.latency.as_millis(), common) {
                     lane.cut(now, sent);
                 } else {
                     lane.grow(slots);
@@ -747,6 +750,17 @@
         if told > 0.0 { told } else { listed }
     }
 
+    /// How far answer times have risen at the middle one of the lanes lately used. Guards against a slowdown of
+    /// everything, as of the network or this machine, that would mark all receivers slow; it may hide a sick
+    /// receiver among many that are sick together.
+    fn common_rise(&self) -> f64 {
+        let lately = |lane: &&Lane| lane.usual > 0.0 && self.now.since(lane.last_used) < LATELY;
+        let mut rises: Vec<f64> = self.lanes.values().filter(lately).map(|l| l.recent / l.usual).collect();
+        rises.sort_by(f64::total_cmp);
+        // Of one or two lanes none can stand for the rest.
+        if rises.len() < 3 { 1.0 } else { rises[(rises.len() - 1) / 2].max(1.0) }
+    }
+
     /// Calls a second that the lane's receiver takes when warm, as far as this sender can tell.
     fn warm_rate(&self, id: LaneId) -> f64 {
         match self.known_rate(id) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -564,3 +564,26 @@
         assert!((least..=most).contains(&clump), "{at_a_time} at a time: {clump}");
     }
 }
+
+#[test]
+fn a_slowdown_of_everything_is_no_receivers_fault() {
+    // lanes that slow down of four, calls out at the first of them afterwards
+    for (slowed, least, most) in [(1, 1, 4), (4, 6, 9)] {
+        let mut bench = Bench::new(Settings { slots: 12, ..settings() }, 0);
+        let list = (0..4).map(|n| entry(n, n, 0, Condition::Running)).collect();
+        bench.list(Scope::Complete, list);
+        let mut out = Vec::new();
+        for round in 0..60 {
+            for dest in 0..4 {
+                out.extend(submits(&bench.take(1, 0, dest)));
+            }
+            bench.now += 100.0;
+            for (text, endpoint) in std::mem::take(&mut out) {
+                bench.latency = if round >= 40 && endpoint.0 < slowed { 900 } else { 100 };
+                out.extend(submits(&bench.answer(text, endpoint, Verdict::Delivered, None)));
+            }
+        }
+        let count = submits(&bench.take(30, 0, 0)).len();
+        assert!((least..=most).contains(&count), "{slowed} slowed: {count}");
+    }
+}
