--- a/src/rules.rs
+++ b/src/rules.rs
@@ -429,6 +429,8 @@
             endpoint.units = entry.units;
             endpoint.running = entry.condition == Condition::Running;
         }
+        let endpoints = &self.endpoints;
+        self.holds.values_mut().for_each(|hold| hold.endpoints.retain(|id| endpoints[id].running));
     }
 
     // The life of a text.
@@ -802,7 +804,8 @@
                 let lane_down = lane.is_some_and(|lane| lane.health.state == State::Down);
                 let silent = lane.is_some_and(|lane| {
                     let own = self.calls.values().filter(|call| call.endpoint == id).map(|call| call.sent);
-                    let all = self.calls.values().filter(|call| hold.endpoints.contains(&call.endpoint));
+                    let all =
+                        self.calls.values().filter(|call| self.lane_of(call.endpoint) == self.lane_of(id));
                     let all = all.map(|call| call.sent);
                     self.silent(lane, &at.health, own) || self.silent(lane, &lane.health, all)
                 });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -396,6 +396,12 @@
         assert_eq!(!submits(&bench.take(2, 0, 1)).is_empty(), goes, "{after} ms");
         assert!(!submits(&bench.take(1, 0, 0)).is_empty(), "other lanes go on");
     }
+    // Where routes are apart, one that is silent doesn't hold the other.
+    let mut bench = Bench::new(settings(), 2);
+    let silent = submits(&bench.take(1, 0, 0))[0].1;
+    bench.pass(1500.0);
+    let next = submits(&bench.take(2, 0, 0));
+    assert!(next.len() == 2 && next.iter().all(|(_, endpoint)| *endpoint != silent), "{next:?}");
 }
 
 #[test]
