--- a/src/rules.rs
+++ b/src/rules.rs
@@ -333,8 +333,7 @@
 
     fn time_out(&self, sla_time: Span) -> Span {
         let expected = Span::from_millis(self.recent + 6.0 * self.spread);
-        let least = if self.recent > 0.0 { sla_time * 0.6 } else { sla_time };
-        least.max(expected) * f64::from(1 << self.time_outs.min(2))
+        sla_time.max(expected) * f64::from(1 << self.time_outs.min(2))
     }
 }
 
