--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,8 +37,6 @@
 const COLD_PART: f64 = 1.2;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
-/// Submits get this many SLA times at least: slow answers are more common than lost ones.
-const LEAST_TIME_OUT: f64 = 1.25;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
 const RISEN: f64 = 2.5;
 const RISEN_BY: f64 = 150.0;
@@ -335,7 +333,7 @@
 
     fn time_out(&self, sla_time: Span) -> Span {
         let expected = Span::from_millis(self.recent + 6.0 * self.spread);
-        (sla_time * LEAST_TIME_OUT).max(expected) * f64::from(1 << self.time_outs.min(2))
+        sla_time.max(expected) * f64::from(1 << self.time_outs.min(2))
     }
 }
 
