--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,9 +37,6 @@
 const COLD_PART: f64 = 1.2;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
-/// With two thirds of the slots free a submit gets this many SLA times at least: slow answers are more common than
-/// lost ones, and nobody waits for the slot.
-const ROOMY_TIME_OUT: f64 = 1.5;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
 const RISEN: f64 = 2.5;
 const RISEN_BY: f64 = 150.0;
@@ -334,10 +331,9 @@
         if self.recent > 0.0 { usual.max(SILENT_AT_LEAST) } else { SILENT_AT_LEAST * 2.0 }
     }
 
-    fn time_out(&self, sla_time: Span, roomy: bool) -> Span {
+    fn time_out(&self, sla_time: Span) -> Span {
         let expected = Span::from_millis(self.recent + 6.0 * self.spread);
-        let least = if roomy { sla_time * ROOMY_TIME_OUT } else { sla_time };
-        least.max(expected) * f64::from(1 << self.time_outs.min(2))
+        sla_time.max(expected) * f64::from(1 << self.time_outs.min(2))
     }
 }
 
@@ -884,12 +880,11 @@
             return false;
         }
         let mut cut_short = false;
-        let roomy = self.calls.len() * 3 < slots;
         let call = self.next_call;
         self.next_call += 1;
         for &id in &chosen {
             let product = self.texts[&id].product;
-            let time_out = self.lanes[&lane_id].time_out(self.settings.products[product.0].sla_time, roomy);
+            let time_out = self.lanes[&lane_id].time_out(self.settings.products[product.0].sla_time);
             self.put(id, Place::Out);
             let text = self.texts.get_mut(&id).expect("chosen from the hold");
             let left = (text.valid_until - CUT_MARGIN).since(self.now);
