A reset is one strike of six, like an error

Also holds while a receiver is released anew; a receiver that is gone shows failed connects and time-outs next, which count three.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -713,8 +713,8 @@
             // Without this, texts that have little time left would mark a sound but unhurried receiver down.
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
             Verdict::TimeOut if cut_short => 1,
-            Verdict::Error | Verdict::Full => 1,
-            Verdict::TimeOut | Verdict::Reset | Verdict::ConnectFailed => 3,
+            Verdict::Error | Verdict::Reset | Verdict::Full => 1,
+            Verdict::TimeOut | Verdict::ConnectFailed => 3,
         };
         if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
             lane.time_outs += 1;
