--- a/src/rules.rs
+++ b/src/rules.rs
@@ -714,8 +714,7 @@
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
             Verdict::TimeOut if cut_short => 1,
             Verdict::Error | Verdict::Reset | Verdict::Full => 1,
-            Verdict::ConnectFailed => 2,
-            Verdict::TimeOut => 3,
+            Verdict::TimeOut | Verdict::ConnectFailed => 3,
         };
         if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
             lane.time_outs += 1;
