--- a/src/rules.rs
+++ b/src/rules.rs
@@ -818,13 +818,17 @@
                     continue;
                 }
                 let lane_out = lane.map_or(0, |lane| lane.out);
-                let rank = (lane_out, Reverse(newest), at.out, Reverse(at.last_used), id);
+                // An open connection is worth going back to; what has just failed is not, or the trials of a lane
+                // would all go to one dead endpoint beside a sound one.
+                let struck = if at.health.strikes >= STRIKES_OUT / 2 { at.health.strikes } else { 0 };
+                let recency = if struck > 0 { Ok(at.last_used) } else { Err(Reverse(at.last_used)) };
+                let rank = (lane_out, Reverse(newest), struck, at.out, recency, id);
                 if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                     best = Some((rank, dest));
                 }
             }
         }
-        best.map(|(rank, dest)| (dest, rank.4))
+        best.map(|(rank, dest)| (dest, rank.5))
     }
 
     fn dispatch(&mut self) {
@@ -897,7 +901,7 @@
         // What is down may have come back this very moment, as cold as it can be.
         let warm_from = |health: &Health| if health.state == State::Down { self.now } else { health.since };
         let lane_gap = self.cold_gap(lane_id, warm_from(&self.lanes[&lane_id].health));
-        let parts = hold_size(&self.holds[&dest], &self.endpoints) as f64;
+        let parts = self.holds[&dest].endpoints.len() as f64;
         let own_gap = self.cold_gap(lane_id, warm_from(&self.endpoints[&endpoint].health)) * parts;
         let at = self.endpoints.get_mut(&endpoint).expect("known");
         at.out += 1;
@@ -925,7 +929,3 @@
         });
     }
 }
-
-fn hold_size(hold: &Hold, endpoints: &BTreeMap<EndpointId, Endpoint>) -> usize {
-    hold.endpoints.iter().filter(|id| endpoints[*id].running).count().max(1)
-}
