--- a/src/rules.rs
+++ b/src/rules.rs
@@ -820,7 +820,7 @@
                 let lane_out = lane.map_or(0, |lane| lane.out);
                 // An open connection is worth going back to; what has just failed is not, or the trials of a lane
                 // would all go to one dead endpoint beside a sound one.
-                let struck = if at.health.strikes >= STRIKES_OUT / 2 { at.health.strikes } else { 0 };
+                let struck = if lane_down { at.health.strikes } else { 0 };
                 let recency = if struck > 0 { Ok(at.last_used) } else { Err(Reverse(at.last_used)) };
                 let rank = (lane_out, Reverse(newest), struck, at.out, recency, id);
                 if best.as_ref().is_none_or(|(least, _)| rank < *least) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -593,3 +593,30 @@
         assert!((least..=most).contains(&count), "{slowed} slowed: {count}");
     }
 }
+
+#[test]
+fn trials_find_the_sound_endpoint_beside_a_dead_one() {
+    for dead in [0, 1] {
+        let mut bench = Bench::new(settings(), 0);
+        // The dead endpoint was used last, while it still was sound.
+        let mut out = submits(&bench.take(2, 0, 0));
+        out.sort_by_key(|(_, endpoint)| endpoint.0 == dead);
+        for (text, endpoint) in out {
+            bench.now += 100.0;
+            bench.answer(text, endpoint, Verdict::Delivered, None);
+        }
+        let mut delivered = None;
+        let mut out = submits(&bench.take(1, 0, 0));
+        while delivered.is_none() && bench.now < 8_000.0 {
+            for (text, endpoint) in std::mem::take(&mut out) {
+                let sound = endpoint.0 != dead;
+                delivered = sound.then_some(bench.now).or(delivered);
+                let verdict = if sound { Verdict::Delivered } else { Verdict::ConnectFailed };
+                out.extend(submits(&bench.answer(text, endpoint, verdict, None)));
+            }
+            let done: Vec<Action> = bench.pass(50.0).into_iter().map(|(_, a)| a).collect();
+            out.extend(submits(&done));
+        }
+        assert!(delivered.is_some_and(|at| at < 4_000.0), "endpoint {dead} dead: {delivered:?}");
+    }
+}
