--- a/src/rules.rs
+++ b/src/rules.rs
@@ -728,7 +728,13 @@
         lane.cut(now, sent);
         let silent = outcome.verdict == Verdict::TimeOut && !cut_short;
         endpoint.health.failed(now, sent, weight, silent, jitter);
-        lane.health.failed(now, sent, weight, silent, jitter);
+        // One endpoint's failures alone don't mark a lane down that has others.
+        let others = || self.holds[&lane_id.0].endpoints.iter().filter(|id| **id != endpoint_id);
+        let shared = lane_id.1.is_some()
+            || others().count() == 0
+            || others().any(|id| self.endpoints[id].health.strikes > 0);
+        let spare = (STRIKES_OUT - 1).saturating_sub(lane.health.strikes);
+        lane.health.failed(now, sent, if shared { weight } else { weight.min(spare) }, silent, jitter);
     }
 
     // Which call goes out next.
