--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,8 +29,6 @@
 const FIRST_TRIAL: Span = Span::millis(400);
 const TRIAL_GROWTH: f64 = 1.6;
 const LONGEST_TRIAL: Span = Span::millis(1_200);
-/// Least pause between trials of an endpoint whose lane goes on by others.
-const TRIAL_BESIDE: Span = Span::millis(4_000);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
 /// This part of an equal share in the budget of a cold destination is used. It may exceed 1: the budget goes
@@ -912,9 +910,6 @@
         let parts = self.holds[&dest].endpoints.len() as f64;
         let own_gap = self.cold_gap(lane_id, warm_from(&self.endpoints[&endpoint].health)) * parts;
         let at = self.endpoints.get_mut(&endpoint).expect("known");
-        // Beside sound endpoints a trial costs a text its time for little.
-        let beside = at.health.state == State::Down && !down;
-        let own_gap = if beside { own_gap.max(TRIAL_BESIDE) } else { own_gap };
         at.out += 1;
         at.last_used = self.now;
         at.health.next = at.health.next.max(self.now + own_gap);
