--- a/src/rules.rs
+++ b/src/rules.rs
@@ -211,7 +211,7 @@
 /// The window of one destination, or of one route where routes are apart.
 struct Lane {
     window: usize,
-    delivered: usize,
+    served: usize,
     out: usize,
     wait_until: Moment,
     cut_at: Moment,
@@ -256,7 +256,7 @@
     fn new(slots: usize) -> Lane {
         Lane {
             window: (slots / 2).max(1),
-            delivered: 0,
+            served: 0,
             out: 0,
             wait_until: Moment::DISTANT_PAST,
             cut_at: Moment::DISTANT_PAST,
@@ -276,12 +276,9 @@
         }
     }
 
-    fn sick(&self) -> bool {
-        self.slow || self.health.state != State::Sound || self.health.strikes > 0
-    }
-
     fn cap(&self, slots: usize) -> usize {
-        (if self.sick() { slots / 2 } else { slots * 3 / 4 }).max(1)
+        let sick = self.slow || self.health.state != State::Sound || self.health.strikes > 0;
+        (if sick { slots / 2 } else { slots * 3 / 4 }).max(1)
     }
 
     fn open(&self, now: Moment, slots: usize) -> bool {
@@ -295,15 +292,15 @@
     fn cut(&mut self, now: Moment, sent: Moment) {
         if sent >= self.cut_at {
             self.window = (self.window / 2).max(1);
-            self.delivered = 0;
+            self.served = 0;
             self.cut_at = now;
         }
     }
 
     fn grow(&mut self, slots: usize) {
-        self.delivered += 1;
-        if self.delivered >= self.window {
-            self.delivered = 0;
+        self.served += 1;
+        if self.served >= self.window {
+            self.served = 0;
             self.window = (self.window + 1).min(self.cap(slots));
         }
     }
@@ -818,10 +815,7 @@
                     let all = all.map(|call| call.sent);
                     self.silent(lane, &at.health, own) || self.silent(lane, &lane.health, all)
                 });
-                // Several sick lanes at half the slots each would fill them all: the last quarter is for sound ones.
-                let scarce = 4 * (self.settings.slots - self.calls.len()) <= self.settings.slots;
                 if !at.running
-                    || (scarce && lane.is_some_and(|lane| lane.sick() && lane.out > 0))
                     || silent
                     || !open
                     || passed.contains(&id)
