--- a/src/rules.rs
+++ b/src/rules.rs
@@ -211,7 +211,7 @@
 /// The window of one destination, or of one route where routes are apart.
 struct Lane {
     window: usize,
-    served: usize,
+    delivered: usize,
     out: usize,
     wait_until: Moment,
     cut_at: Moment,
@@ -256,7 +256,7 @@
     fn new(slots: usize) -> Lane {
         Lane {
             window: (slots / 2).max(1),
-            served: 0,
+            delivered: 0,
             out: 0,
             wait_until: Moment::DISTANT_PAST,
             cut_at: Moment::DISTANT_PAST,
@@ -292,15 +292,15 @@
     fn cut(&mut self, now: Moment, sent: Moment) {
         if sent >= self.cut_at {
             self.window = (self.window / 2).max(1);
-            self.served = 0;
+            self.delivered = 0;
             self.cut_at = now;
         }
     }
 
     fn grow(&mut self, slots: usize) {
-        self.served += 1;
-        if self.served >= self.window {
-            self.served = 0;
+        self.delivered += 1;
+        if self.delivered >= self.window {
+            self.delivered = 0;
             self.window = (self.window + 1).min(self.cap(slots));
         }
     }
