Replace scans by indices; the adapter reads events without a detour

Destinations that may send stand in one ordered line and are looked at again when something of theirs changed or falls due; the oldest call, the longest hold and the texts to give up have indices. The adapter parses each event once from its text.

A list that names an endpoint under two destinations keeps the first.

--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -5,7 +5,7 @@
 use indigomast::api::*;
 use indigomast::rules::Rules;
 use indigomast::time::{Moment, Span};
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -31,16 +31,17 @@
 impl<T: Ord + Clone> Names<T> {
     fn of(names: Vec<T>) -> Self {
         let mut list = Names { index: BTreeMap::new(), names: Vec::new() };
-        names.into_iter().for_each(|name| _ = list.place(name));
+        names.iter().for_each(|name| _ = list.place(name));
         list
     }
 
-    fn place(&mut self, name: T) -> usize {
-        let next = self.names.len();
-        *self.index.entry(name.clone()).or_insert_with(|| {
-            self.names.push(name);
-            next
-        })
+    fn place(&mut self, name: &T) -> usize {
+        if let Some(&at) = self.index.get(name) {
+            return at;
+        }
+        self.index.insert(name.clone(), self.names.len());
+        self.names.push(name.clone());
+        self.names.len() - 1
     }
 
     fn find(&self, name: &T, field: &str) -> Result<usize, Complaint>
@@ -61,10 +62,16 @@
     kinds: Names<String>,
     zones: Names<String>,
     pending: Vec<Event>,
+    /// Has its place among those that act in this batch.
+    called: bool,
 }
 
-fn read<T: DeserializeOwned>(value: Value) -> Result<T, Complaint> {
-    serde_path_to_error::deserialize(value).map_err(|e| {
+fn read<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, Complaint> {
+    // The path to what is wrong costs time, and next to nothing is ever wrong.
+    if let Ok(value) = serde_json::from_str(text) {
+        return Ok(value);
+    }
+    serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text)).map_err(|e| {
         let path = e.path().to_string();
         let what = e.into_inner();
         if path == "." { what.to_string() } else { format!("{path}: {what}") }
@@ -74,25 +81,28 @@
 impl Hosts {
     /// Answers one line of the wire.
     pub fn answer(&mut self, line: &str) -> Result<wire::Reply, Complaint> {
-        let value: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
-        let round = value.get("round").and_then(Value::as_u64);
-        let place = round.map_or("batch without a number".to_owned(), |n| format!("batch {n}"));
-        let batch: wire::Batch = read(value).map_err(|e| format!("{place}: {e}"))?;
+        let batch: wire::Batch = read(line).map_err(|e| match serde_json::from_str(line) {
+            Ok(wire::Numbered { round: Some(n) }) => format!("batch {n}: {e}"),
+            Ok(_) => format!("batch without a number: {e}"),
+            Err(e) => format!("not JSON: {e}"),
+        })?;
         let mut order = Vec::new();
         for (at, event) in batch.arrivals.into_iter().enumerate() {
-            self.take(event, &mut order).map_err(|e| format!("{place}: arrivals[{at}]: {e}"))?;
+            self.take(event.get(), &mut order)
+                .map_err(|e| format!("batch {}: arrivals[{at}]: {e}", batch.round))?;
         }
         let mut actions = Vec::new();
         for i in order {
-            if let Some(instance) = self.instances.get_mut(&i) {
+            // One killed and started anew in the same batch has two places and acts once.
+            if let Some(instance) = self.instances.get_mut(&i).filter(|instance| instance.called) {
                 instance.act(i, Moment::from_millis(batch.t_ms), &mut actions);
             }
         }
         Ok(wire::Reply { round: batch.round, actions })
     }
 
-    fn take(&mut self, event: Value, order: &mut Vec<u64>) -> Result<(), Complaint> {
-        let head: wire::Head = read(event.clone())?;
+    fn take(&mut self, event: &str, order: &mut Vec<u64>) -> Result<(), Complaint> {
+        let head: wire::Head = read(event)?;
         let within = |e: Complaint| format!("{}: {e}", head.msg);
         if head.msg == "Page" {
             let page: wire::Page = read(event).map_err(within)?;
@@ -112,7 +122,9 @@
                 instance.take(&head.msg, event, &self.pages).map_err(within)?;
             }
         }
-        if !order.contains(&i) {
+        if let Some(instance) = self.instances.get_mut(&i)
+            && !std::mem::replace(&mut instance.called, true)
+        {
             order.push(i);
         }
         Ok(())
@@ -201,6 +213,7 @@
             kinds: Names::of(info.kinds),
             zones,
             pending: Vec::new(),
+            called: false,
         })
     }
 
@@ -211,7 +224,7 @@
     fn take(
         &mut self,
         msg: &str,
-        event: Value,
+        event: &str,
         pages: &BTreeMap<u64, Vec<wire::Member>>,
     ) -> Result<(), Complaint> {
         let event = match msg {
@@ -226,10 +239,10 @@
                     return Err(format!("op-id: {} came before", job.op_id));
                 }
                 Event::Taken {
-                    text: TextId(self.texts.place(job.op_id)),
+                    text: TextId(self.texts.place(&job.op_id)),
                     product,
-                    dest: DestId(self.dests.place(job.dest)),
-                    key: job.partition_key.map(|key| KeyId(self.keys.place(key))),
+                    dest: DestId(self.dests.place(&job.dest)),
+                    key: job.partition_key.map(|key| KeyId(self.keys.place(&key))),
                     valid_until: Moment::from_millis(job.not_after_ms),
                 }
             }
@@ -298,8 +311,8 @@
         let page = pages.get(&number).ok_or_else(|| format!("ref: no page {number}"))?;
         let entries = page.iter().map(|member| {
             Ok(Entry {
-                endpoint: EndpointId(self.endpoints.place(member.endpoint.clone())),
-                dest: DestId(self.dests.place(member.belongs_to)),
+                endpoint: EndpointId(self.endpoints.place(&member.endpoint)),
+                dest: DestId(self.dests.place(&member.belongs_to)),
                 kind: KindId(self.kinds.find(&member.sku, "sku")?),
                 zone: ZoneId(self.zones.find(&member.area, "area")?),
                 units: member.units,
@@ -314,6 +327,7 @@
     }
 
     fn act(&mut self, i: u64, now: Moment, out: &mut Vec<Act>) {
+        self.called = false;
         let events = std::mem::take(&mut self.pending);
         match catch_unwind(AssertUnwindSafe(|| self.rules.step(now, events))) {
             Ok(actions) => out.extend(actions.into_iter().map(|action| self.translate(i, action))),
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -2,14 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 
 #[derive(Deserialize)]
-pub struct Batch {
+pub struct Batch<'a> {
     #[serde(rename = "t-ms")]
     pub t_ms: f64,
     pub round: u64,
-    pub arrivals: Vec<Value>,
+    #[serde(borrow)]
+    pub arrivals: Vec<&'a RawValue>,
 }
 
 #[derive(Serialize)]
@@ -19,6 +21,12 @@
     pub actions: Vec<Act>,
 }
 
+/// Enough of a batch to name it in a complaint.
+#[derive(Deserialize)]
+pub struct Numbered {
+    pub round: Option<u64>,
+}
+
 #[derive(Deserialize)]
 pub struct Head {
     pub msg: String,
--- a/src/api.rs
+++ b/src/api.rs
@@ -7,7 +7,7 @@
 
 macro_rules! ids {
     ($($name:ident),*) => {$(
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub usize);
     )*};
 }
@@ -34,8 +34,9 @@
 }
 
 /// What the listed figure of an endpoint says of the calls a second that its destination takes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ListedRate {
+    #[default]
     Silent,
     Exact,
     Rough,
@@ -48,7 +49,7 @@
     pub texts_per_call: usize,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub ordinal: usize,
     pub senders: usize,
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -6,7 +6,7 @@
 /// let draws: Vec<f64> = (0..4).map(|_| a.share()).collect();
 /// assert!(draws.iter().all(|d| (0.0..1.0).contains(d) && *d == b.share()));
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Chance(u64);
 
 impl Chance {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,10 @@
     Key(KeyId),
     /// The list is to be asked for.
     Ask,
+    /// A lane of the destination may open again.
+    Lane(DestId),
+    /// A lane may have been without calls for a quiet spell.
+    Idle(LaneId),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,10 +106,21 @@
 struct Hold {
     fresh: BTreeSet<TextId>,
     ready: BTreeSet<TextId>,
+    /// Ready texts in doubt by the end of their receiver's memory.
+    fading: BTreeSet<(Moment, TextId)>,
+    /// Texts never in doubt that are not out: any of them may be given up to make room.
+    sure: BTreeSet<TextId>,
     held: usize,
     endpoints: Vec<EndpointId>,
+    units: f64,
+    /// Its place in the line of those that may send, and when it is next looked at.
+    rank: Option<Rank>,
+    look_at: Option<Moment>,
 }
 
+/// Fresh before rescheduled, then the fewest calls out, then the newest text.
+type Rank = (bool, usize, Reverse<TextId>, DestId);
+
 struct Call {
     endpoint: EndpointId,
     sent: Moment,
@@ -115,8 +130,9 @@
     cut_short: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
+    #[default]
     Sound,
     Down,
     /// Answering again after an outage, and cold.
@@ -124,6 +140,7 @@
 }
 
 /// What a sender's own calls say of a lane or an endpoint.
+#[derive(Default)]
 struct Health {
     state: State,
     since: Moment,
@@ -135,24 +152,12 @@
 }
 
 impl Health {
-    fn new() -> Health {
-        let past = Moment::DISTANT_PAST;
-        Health {
-            state: State::Sound,
-            since: past,
-            next: past,
-            gap: FIRST_TRIAL,
-            strikes: 0,
-            struck_at: past,
-            last_ok: past,
-        }
-    }
-
-    fn open(&self, now: Moment, out: usize) -> bool {
+    /// From when on a call may go out, if no outcome has to come first.
+    fn opens(&self, out: usize) -> Option<Moment> {
         match self.state {
-            State::Sound => true,
-            State::Down => out == 0 && now >= self.next,
-            State::Back => now >= self.next,
+            State::Sound => Some(Moment::default()),
+            State::Down => (out == 0).then_some(self.next),
+            State::Back => Some(self.next),
         }
     }
 
@@ -197,22 +202,24 @@
     }
 }
 
+#[derive(Default)]
 struct Endpoint {
     dest: DestId,
     kind: KindId,
     zone: ZoneId,
     units: f64,
     running: bool,
-    out: usize,
+    calls: BTreeSet<u64>,
     last_used: Moment,
     health: Health,
 }
 
 /// The window of one destination, or of one route where routes are apart.
+#[derive(Default)]
 struct Lane {
     window: usize,
     delivered: usize,
-    out: usize,
+    calls: BTreeSet<u64>,
     wait_until: Moment,
     cut_at: Moment,
     last_used: Moment,
@@ -235,6 +242,7 @@
 
 type LaneId = (DestId, Option<EndpointId>);
 
+#[derive(Default)]
 pub struct Rules {
     settings: Settings,
     chance: Chance,
@@ -246,6 +254,11 @@
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     dues: BTreeSet<(Moment, Due)>,
+    /// Destinations of which something has changed, and those that may send, best first.
+    touched: BTreeSet<DestId>,
+    line: BTreeSet<Rank>,
+    held: usize,
+    longest: BTreeSet<(usize, DestId)>,
     asks_failed: u32,
     started: bool,
     now: Moment,
@@ -253,39 +266,16 @@
 }
 
 impl Lane {
-    fn new(slots: usize) -> Lane {
-        Lane {
-            window: (slots / 2).max(1),
-            delivered: 0,
-            out: 0,
-            wait_until: Moment::DISTANT_PAST,
-            cut_at: Moment::DISTANT_PAST,
-            last_used: Moment::DISTANT_PAST,
-            health: Health::new(),
-            usual: 0.0,
-            recent: 0.0,
-            spread: 0.0,
-            slow: false,
-            time_outs: 0,
-            told_rate: 0.0,
-            pace: 0.0,
-            paced: Moment::DISTANT_PAST,
-            second: Moment::DISTANT_PAST,
-            count: 0.0,
-            best: 0.0,
-        }
-    }
-
     fn cap(&self, slots: usize) -> usize {
         let sick = self.slow || self.health.state != State::Sound || self.health.strikes > 0;
         (if sick { slots / 2 } else { slots * 3 / 4 }).max(1)
     }
 
-    fn open(&self, now: Moment, slots: usize) -> bool {
-        now >= self.wait_until
-            && (self.pace == 0.0 || now + PACE_EARLY >= self.paced)
-            && self.out < self.window.min(self.cap(slots))
-            && self.health.open(now, self.out)
+    fn opens(&self, slots: usize) -> Option<Moment> {
+        let paced = if self.pace == 0.0 { Moment::default() } else { self.paced - PACE_EARLY };
+        let healthy = self.health.opens(self.calls.len())?;
+        let room = self.calls.len() < self.window.min(self.cap(slots));
+        room.then(|| self.wait_until.max(paced).max(healthy))
     }
 
     /// One overload answers many calls at once; those that left before the last cut count with it.
@@ -339,22 +329,7 @@
 
 impl Rules {
     pub fn new(settings: Settings, seed: u64) -> Rules {
-        Rules {
-            settings,
-            chance: Chance::new(seed),
-            endpoints: BTreeMap::new(),
-            lanes: BTreeMap::new(),
-            holds: BTreeMap::new(),
-            texts: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            next_call: 0,
-            dues: BTreeSet::new(),
-            asks_failed: 0,
-            started: false,
-            now: Moment::DISTANT_PAST,
-            actions: Vec::new(),
-        }
+        Rules { settings, chance: Chance::new(seed), ..Rules::default() }
     }
 
     /// Takes all that happened at `now`, in order, and returns what to do about it, in order.
@@ -386,7 +361,6 @@
             self.due(due);
         }
         if beat {
-            self.drop_idle();
             self.actions.push(Action::WakeAt(now + BEAT.max(self.settings.tick)));
         }
         self.dispatch();
@@ -410,53 +384,37 @@
         }
         if scope != Scope::Partial {
             self.endpoints.values_mut().for_each(|e| e.running = false);
+            self.touched.extend(self.holds.keys());
         }
         for entry in entries {
-            let hold = self.holds.entry(entry.dest).or_default();
+            let Entry { dest, kind, zone, .. } = entry;
+            let new = || Endpoint { dest, kind, zone, ..Endpoint::default() };
+            let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(new);
+            let hold = self.holds.entry(endpoint.dest).or_default();
+            hold.units = hold.units.max(entry.units);
             if !hold.endpoints.contains(&entry.endpoint) {
                 hold.endpoints.push(entry.endpoint);
             }
-            let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
-                dest: entry.dest,
-                kind: entry.kind,
-                zone: entry.zone,
-                units: 0.0,
-                running: false,
-                out: 0,
-                last_used: Moment::DISTANT_PAST,
-                health: Health::new(),
-            });
+            self.touched.insert(endpoint.dest);
             endpoint.units = entry.units;
             endpoint.running = entry.condition == Condition::Running;
         }
-        let endpoints = &self.endpoints;
-        self.holds.values_mut().for_each(|hold| hold.endpoints.retain(|id| endpoints[id].running));
+        for dest in &self.touched {
+            let hold = self.holds.get_mut(dest).expect("what is touched has a hold");
+            hold.endpoints.retain(|id| self.endpoints[id].running);
+        }
     }
 
     // The life of a text.
 
-    fn taken(
-        &mut self,
-        id: TextId,
-        product: ProductId,
-        dest: DestId,
-        key: Option<KeyId>,
-        valid_until: Moment,
-    ) {
+    fn taken(&mut self, id: TextId, product: ProductId, dest: DestId, key: Option<KeyId>, end: Moment) {
         let key = key.filter(|_| self.settings.products[product.0].in_order);
-        let text = Text {
-            dest,
-            product,
-            key,
-            valid_until,
-            submits: 0,
-            out: None,
-            doubt: None,
-            place: Place::Behind,
-        };
-        self.dues.insert((valid_until - ANSWER_MARGIN, Due::End(id)));
+        let place = Place::Behind;
+        let text = Text { dest, product, key, valid_until: end, submits: 0, out: None, doubt: None, place };
+        self.dues.insert((end - ANSWER_MARGIN, Due::End(id)));
         self.texts.insert(id, text);
-        self.holds.entry(dest).or_default().held += 1;
+        self.holds.entry(dest).or_default().sure.insert(id);
+        self.count_held(dest, 1);
         match key {
             None => self.put(id, Place::Fresh),
             Some(key) => {
@@ -466,29 +424,47 @@
         }
     }
 
+    fn count_held(&mut self, dest: DestId, by: isize) {
+        let hold = self.holds.get_mut(&dest).expect("a text at hand has its hold");
+        self.longest.remove(&(hold.held, dest));
+        hold.held = hold.held.saturating_add_signed(by);
+        self.held = self.held.saturating_add_signed(by);
+        self.longest.insert((hold.held, dest));
+    }
+
     fn put(&mut self, id: TextId, place: Place) {
+        let memory_ends = self.memory_ends(&self.texts[&id]);
         let text = self.texts.get_mut(&id).expect("only texts at hand are moved");
         let hold = self.holds.get_mut(&text.dest).expect("a text at hand has its hold");
-        match text.place {
-            Place::Fresh => _ = hold.fresh.remove(&id),
-            Place::Ready => _ = hold.ready.remove(&id),
-            _ => {}
-        }
+        hold.fresh.remove(&id);
+        hold.ready.remove(&id);
+        hold.sure.remove(&id);
+        memory_ends.map(|end| hold.fading.remove(&(end, id)));
         match place {
             Place::Fresh => _ = hold.fresh.insert(id),
-            Place::Ready => _ = hold.ready.insert(id),
-            Place::Ended if text.place != Place::Ended => hold.held -= 1,
+            Place::Ready => {
+                hold.ready.insert(id);
+                memory_ends.map(|end| hold.fading.insert((end, id)));
+            }
             _ => {}
         }
-        text.place = place;
+        if !matches!(place, Place::Out | Place::Ended) && text.doubt.is_none() {
+            hold.sure.insert(id);
+        }
+        self.touched.insert(text.dest);
+        let (dest, was) = (text.dest, std::mem::replace(&mut text.place, place));
+        if place == Place::Ended && was != Place::Ended {
+            self.count_held(dest, -1);
+        }
     }
 
     /// Gives the turn of a key to the next text in line, once the last one is ended and its submits are
     /// known.
     fn advance(&mut self, key: KeyId) {
         let Some(keyed) = self.keys.get_mut(&key) else { return };
-        let texts = &self.texts;
-        keyed.line.retain(|id| texts.contains_key(id));
+        while keyed.line.front().is_some_and(|id| !self.texts.contains_key(id)) {
+            keyed.line.pop_front();
+        }
         let Some(&first) = keyed.line.front() else {
             if keyed.rest_until.is_none_or(|until| until <= self.now) {
                 self.keys.remove(&key);
@@ -547,8 +523,7 @@
                 State::Sound => lane.wait_until,
                 _ => lane.wait_until.max(lane.health.next),
             };
-            let until =
-                self.lanes.iter().filter(|(id, _)| id.0 == text.dest).map(|(_, l)| held_until(l)).min();
+            let until = self.lanes.range(lanes_of(text.dest)).map(|(_, lane)| held_until(lane)).min();
             let wait = until.map_or(Span::ZERO, |until| until.since(self.now));
             let advice = self.settings.longest_advice.map(|most| wait.max(FIRST_PAUSE).min(most));
             self.actions.push(Action::Nack { text: id, come_back_after: advice });
@@ -564,15 +539,10 @@
     /// emptied soon.
     fn make_room(&mut self) {
         let kept = ((self.settings.max_held as f64 * ROOM_KEPT) as usize).max(1);
-        let mut held: usize = self.holds.values().map(|hold| hold.held).sum();
-        while held + kept > self.settings.max_held {
-            let Some((&dest, _)) = self.holds.iter().max_by_key(|(_, hold)| hold.held) else { return };
-            let stalest = self.texts.iter().find(|(_, text)| {
-                text.dest == dest && text.doubt.is_none() && !matches!(text.place, Place::Out | Place::Ended)
-            });
-            let Some((&id, _)) = stalest else { return };
-            self.give_up(id);
-            held -= 1;
+        while self.held + kept > self.settings.max_held {
+            let Some(&(_, dest)) = self.longest.last() else { return };
+            let Some(&stalest) = self.holds[&dest].sure.first() else { return };
+            self.give_up(stalest);
         }
     }
 
@@ -614,6 +584,11 @@
             }
             Due::Key(key) => self.advance(key),
             Due::Ask => self.actions.push(Action::Subscribe { on: true }),
+            Due::Lane(dest) => {
+                self.holds.get_mut(&dest).expect("looked at").look_at = None;
+                self.touched.insert(dest);
+            }
+            Due::Idle(id) => self.drop_idle(id),
         }
     }
 
@@ -657,10 +632,11 @@
         }
         if done {
             self.calls.remove(&call_id);
-            self.endpoints.get_mut(&endpoint).expect("known").out -= 1;
+            self.endpoints.get_mut(&endpoint).expect("known").calls.remove(&call_id);
             let lane = self.lane_of(endpoint);
-            self.lanes.get_mut(&lane).expect("a lane with calls out stays").out -= 1;
+            self.lanes.get_mut(&lane).expect("a lane with calls out stays").calls.remove(&call_id);
         }
+        self.touched.insert(self.endpoints[&endpoint].dest);
         if ended {
             self.end(id);
         } else {
@@ -748,8 +724,10 @@
     /// unknown.
     fn known_rate(&self, id: LaneId) -> f64 {
         let told = self.lanes.get(&id).map_or(0.0, |lane| lane.told_rate);
-        let listed = self.endpoints.iter().filter(|(e, at)| at.dest == id.0 && id.1.is_none_or(|r| r == **e));
-        let units = listed.map(|(_, at)| at.units).fold(0.0, f64::max);
+        let units = match id.1 {
+            Some(route) => self.endpoints[&route].units,
+            None => self.holds.get(&id.0).map_or(0.0, |hold| hold.units),
+        };
         let listed = match self.settings.listed_rate {
             ListedRate::Silent => 0.0,
             ListedRate::Exact => units,
@@ -795,60 +773,89 @@
     /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against
     /// hung, silent and very slow receivers, which would draw in a slot a call until the first time-out; it
     /// may hurt where one slow call among few is all that is wrong.
-    fn silent(&self, lane: &Lane, health: &Health, calls: impl Iterator<Item = Moment>) -> bool {
-        calls.min().is_some_and(|sent| self.now.since(sent) > lane.patience() && health.last_ok <= sent)
+    fn silent(&self, lane: &Lane, health: &Health, calls: &BTreeSet<u64>) -> bool {
+        let sent = calls.first().map(|oldest| self.calls[oldest].sent);
+        sent.is_some_and(|sent| self.now.since(sent) > lane.patience() && health.last_ok <= sent)
     }
 
-    fn pick(&self, fresh: bool, passed: &BTreeSet<EndpointId>) -> Option<(DestId, EndpointId)> {
+    /// The best endpoint of a destination that may be called now, or when one may be.
+    fn pick(
+        &self,
+        dest: DestId,
+        passed: &BTreeSet<EndpointId>,
+    ) -> Result<(Rank, EndpointId), Option<Moment>> {
+        let hold = &self.holds[&dest];
+        let newest = hold.fresh.last().or(hold.ready.last()).ok_or(None)?;
         let mut best = None;
-        for (&dest, hold) in &self.holds {
-            let Some(&newest) = (if fresh { &hold.fresh } else { &hold.ready }).last() else { continue };
-            for &id in &hold.endpoints {
-                let at = &self.endpoints[&id];
-                let lane = self.lanes.get(&self.lane_of(id));
-                let open = lane.is_none_or(|lane| lane.open(self.now, self.settings.slots));
-                let lane_down = lane.is_some_and(|lane| lane.health.state == State::Down);
-                let silent = lane.is_some_and(|lane| {
-                    let own = self.calls.values().filter(|call| call.endpoint == id).map(|call| call.sent);
-                    let all =
-                        self.calls.values().filter(|call| self.lane_of(call.endpoint) == self.lane_of(id));
-                    let all = all.map(|call| call.sent);
-                    self.silent(lane, &at.health, own) || self.silent(lane, &lane.health, all)
-                });
-                if !at.running
-                    || silent
-                    || !open
-                    || passed.contains(&id)
-                    || !(lane_down || at.health.open(self.now, at.out))
-                {
-                    continue;
-                }
-                let lane_out = lane.map_or(0, |lane| lane.out);
-                // An open connection is worth going back to; what has just failed is not, or the trials of a lane
-                // would all go to one dead endpoint beside a sound one.
-                let struck = if lane_down { at.health.strikes } else { 0 };
-                let recency = if struck > 0 { Ok(at.last_used) } else { Err(Reverse(at.last_used)) };
-                let rank = (lane_out, Reverse(newest), struck, at.out, recency, id);
-                if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                    best = Some((rank, dest));
-                }
+        let mut opens = None::<Moment>;
+        for &id in hold.endpoints.iter().filter(|id| !passed.contains(id)) {
+            let at = &self.endpoints[&id];
+            let lane = self.lanes.get(&self.lane_of(id));
+            let lane_down = lane.is_some_and(|lane| lane.health.state == State::Down);
+            let silent = |lane: &Lane| {
+                self.silent(lane, &at.health, &at.calls) || self.silent(lane, &lane.health, &lane.calls)
+            };
+            if lane.is_some_and(silent) {
+                continue;
             }
+            let lane_opens = lane.map_or(Some(self.now), |lane| lane.opens(self.settings.slots));
+            let own = if lane_down { Some(self.now) } else { at.health.opens(at.calls.len()) };
+            let Some(from) = lane_opens.and_then(|lane| own.map(|own| own.max(lane))) else { continue };
+            if from > self.now {
+                opens = Some(opens.map_or(from, |at| at.min(from)));
+                continue;
+            }
+            let lane_out = lane.map_or(0, |lane| lane.calls.len());
+            // An open connection is worth going back to; what has just failed is not, or the trials of a lane
+            // would all go to one dead endpoint beside a sound one.
+            let struck = if lane_down { at.health.strikes } else { 0 };
+            let recency = if struck > 0 { Ok(at.last_used) } else { Err(Reverse(at.last_used)) };
+            let rank = (lane_out, struck, at.calls.len(), recency, id);
+            if best.as_ref().is_none_or(|least| rank < *least) {
+                best = Some(rank);
+            }
+        }
+        let best = best.ok_or(opens)?;
+        Ok(((hold.fresh.is_empty(), best.0, Reverse(*newest), dest), best.4))
+    }
+
+    /// Puts a destination in its place among those that may send.
+    fn line_up(&mut self, dest: DestId, passed: &BTreeSet<EndpointId>) {
+        let picked = self.pick(dest, passed);
+        let hold = self.holds.get_mut(&dest).expect("what is touched has a hold");
+        let rank = picked.as_ref().ok().map(|(rank, _)| *rank);
+        if let Some(old) = std::mem::replace(&mut hold.rank, rank) {
+            self.line.remove(&old);
+        }
+        self.line.extend(rank);
+        if let Err(Some(at)) = picked
+            && hold.look_at.is_none_or(|look| at < look)
+        {
+            hold.look_at = Some(at);
+            self.dues.insert((at, Due::Lane(dest)));
         }
-        best.map(|(rank, dest)| (dest, rank.5))
     }
 
     fn dispatch(&mut self) {
         // Endpoints that none of the texts held may go to, as where only one zone remembers a reference.
         let mut passed = BTreeSet::new();
-        for fresh in [true, false] {
-            while self.calls.len() < self.settings.slots
-                && let Some((dest, endpoint)) = self.pick(fresh, &passed)
+        for dest in std::mem::take(&mut self.touched) {
+            self.line_up(dest, &passed);
+        }
+        while self.calls.len() < self.settings.slots
+            && let Some(&first) = self.line.first()
+        {
+            // What was open when it came into the line may have fallen silent since.
+            let dest = first.3;
+            if let Ok((rank, endpoint)) = self.pick(dest, &passed)
+                && rank == first
+                && !self.call(dest, endpoint)
             {
-                if !self.call(dest, endpoint) {
-                    passed.insert(endpoint);
-                }
+                passed.insert(endpoint);
             }
+            self.line_up(dest, &passed);
         }
+        self.touched.clear();
     }
 
     /// One call, filled with as many of the texts held as it carries.
@@ -856,7 +863,10 @@
         let lane_id = self.lane_of(endpoint);
         let slots = self.settings.slots;
         let start = self.known_rate(lane_id) * 2.0 / (self.settings.senders as f64 + 1.0);
-        self.lanes.entry(lane_id).or_insert_with(|| Lane { pace: start, ..Lane::new(slots) });
+        self.lanes.entry(lane_id).or_insert_with(|| {
+            self.dues.insert((self.now + QUIET_SPELL, Due::Idle(lane_id)));
+            Lane { window: (slots / 2).max(1), pace: start, ..Lane::default() }
+        });
         let at = &self.endpoints[&endpoint];
         let (kind, zone) = (at.kind, at.zone);
         let hold = &self.holds[&dest];
@@ -873,19 +883,24 @@
             );
             self.may_go_again(text) && !(one_zone && text.doubt.is_some_and(|(_, first)| first != zone))
         };
-        let mut chosen: Vec<&TextId> = hold.fresh.iter().rev().chain(hold.ready.iter().rev()).collect();
+        let mut chosen: Vec<TextId> = Vec::new();
         if down {
             let once_only =
                 |id: &TextId| self.settings.products[self.texts[id].product.0].repeat == Repeat::OnceOnly;
-            chosen.sort_by_key(|id| (once_only(id), !hold.ready.contains(id)));
+            let tried = || hold.ready.iter().rev().chain(hold.fresh.iter().rev()).filter(takes);
+            chosen.extend(tried().find(|id| !once_only(id)).or_else(|| tried().next()));
         } else {
             // A text in doubt that waits behind fresh ones is forgotten by its receiver and can't go again.
-            let fading = |id: &TextId| {
-                self.memory_ends(&self.texts[id]).is_some_and(|end| end.since(self.now) < FADING)
-            };
-            chosen.sort_by_key(|id| !fading(id));
+            let fading = hold.fading.range(..(self.now + FADING, TextId(0))).map(|(_, id)| id);
+            let rest = hold.fresh.iter().rev().chain(hold.ready.iter().rev());
+            for id in fading.chain(rest).filter(takes) {
+                if chosen.len() < most && !chosen.contains(id) {
+                    chosen.push(*id);
+                } else if chosen.len() == most {
+                    break;
+                }
+            }
         }
-        let chosen: Vec<TextId> = chosen.into_iter().filter(takes).take(most).copied().collect();
         if chosen.is_empty() {
             return false;
         }
@@ -910,11 +925,11 @@
         let parts = self.holds[&dest].endpoints.len() as f64;
         let own_gap = self.cold_gap(lane_id, warm_from(&self.endpoints[&endpoint].health)) * parts;
         let at = self.endpoints.get_mut(&endpoint).expect("known");
-        at.out += 1;
+        at.calls.insert(call);
         at.last_used = self.now;
         at.health.next = at.health.next.max(self.now + own_gap);
         let lane = self.lanes.get_mut(&lane_id).expect("made above");
-        lane.out += 1;
+        lane.calls.insert(call);
         lane.last_used = self.now;
         if lane.pace > 0.0 {
             lane.paced = lane.paced.max(self.now) + Span::from_millis(1000.0 / lane.pace);
@@ -927,11 +942,18 @@
         true
     }
 
-    fn drop_idle(&mut self) {
-        let (now, holds) = (self.now, &self.holds);
-        self.lanes.retain(|id, lane| {
-            let told = lane.wait_until > now;
-            told || lane.out > 0 || holds[&id.0].held > 0 || now.since(lane.last_used) < QUIET_SPELL
-        });
+    fn drop_idle(&mut self, id: LaneId) {
+        let (lane, held) = (&self.lanes[&id], self.holds[&id.0].held);
+        let quiet_from = lane.last_used + QUIET_SPELL;
+        if self.now >= quiet_from && self.now >= lane.wait_until && lane.calls.is_empty() && held == 0 {
+            self.lanes.remove(&id);
+        } else {
+            let again = quiet_from.max(lane.wait_until).max(self.now + BEAT);
+            self.dues.insert((again, Due::Idle(id)));
+        }
     }
 }
+
+fn lanes_of(dest: DestId) -> std::ops::RangeInclusive<LaneId> {
+    (dest, None)..=(dest, Some(EndpointId(usize::MAX)))
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -10,16 +10,21 @@
 /// assert_eq!((start + Span::millis(250)).since(start), Span::millis(250));
 /// assert_eq!(start.since(start + Span::millis(250)), Span::ZERO);
 /// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Moment(i64);
 
+/// Long before anything that is told of.
+impl Default for Moment {
+    fn default() -> Moment {
+        Moment(i64::MIN / 4)
+    }
+}
+
 /// A length of time in whole microseconds, never below zero.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(i64);
 
 impl Moment {
-    pub const DISTANT_PAST: Moment = Moment(i64::MIN / 4);
-
     pub fn from_millis(millis: f64) -> Moment {
         Moment((millis * 1000.0).round() as i64)
     }
