--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,14 +10,15 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// How often the one periodic timer comes round.
-const BEAT: Span = Span::millis(10);
+/// How often the one periodic timer comes round. Most of a large fleet's senders have nothing due, and these
+/// timers are most of what they hear.
+const BEAT: Span = Span::millis(20);
 /// A lane without calls or texts for so long is dropped with all that it learnt.
 const QUIET_SPELL: Span = Span::millis(30_000);
-/// A text is ended so long before its validity period is over, so that the answer gets there.
-const ANSWER_MARGIN: Span = Span::millis(12);
-/// A submit is cut so long before the end, and a late cut is answered so long after it.
-const CUT_MARGIN: Span = Span::millis(6);
+/// A text is ended so long before its validity period is over that the answer gets there: over a beat.
+const ANSWER_MARGIN: Span = Span::millis(28);
+/// A submit is cut so long before the end.
+const CUT_MARGIN: Span = Span::millis(12);
 /// A referenced text is not sent again so close to the end of its receiver's memory.
 const MEMORY_MARGIN: Span = Span::millis(300);
 /// A text in doubt goes before fresh ones when its receiver will forget it this soon.
@@ -40,8 +41,9 @@
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
 const RISEN: f64 = 2.5;
 const RISEN_BY: f64 = 150.0;
-/// Lanes used so lately tell how far answer times have risen in common.
+/// Lanes that answered so lately, and no more than these, tell how far answer times have risen in common.
 const LATELY: Span = Span::millis(3_000);
+const TELLING: usize = 15;
 /// This part of the room for texts is kept free, so that a sick lane's hold doesn't shut out fresh texts.
 const ROOM_KEPT: f64 = 0.1;
 /// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a
@@ -256,6 +258,8 @@
     dues: BTreeSet<(Moment, Due)>,
     /// Destinations of which something has changed, and those that may send, best first.
     touched: BTreeSet<DestId>,
+    /// The lanes that answered last, when, and how far their answer times had risen.
+    risen: VecDeque<(Moment, LaneId, f64)>,
     line: BTreeSet<Rank>,
     held: usize,
     longest: BTreeSet<(usize, DestId)>,
@@ -575,9 +579,9 @@
                     return;
                 }
                 // The cut submit should answer first; this stands behind it should that answer fail to come.
-                if text.out.is_some() && self.now < text.valid_until + CUT_MARGIN {
-                    let at = (text.valid_until + CUT_MARGIN).max(self.now + self.settings.tick);
-                    _ = self.dues.insert((at, Due::End(id)));
+                let latest = text.valid_until - CUT_MARGIN + self.settings.tick * 2.0;
+                if text.out.is_some() && self.now < latest {
+                    _ = self.dues.insert((latest, Due::End(id)));
                 } else {
                     self.give_up(id);
                 }
@@ -678,7 +682,13 @@
                     let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
                     lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
                 }
-                if lane.learn(outcome.latency.as_millis(), common) {
+                let slow = lane.learn(outcome.latency.as_millis(), common);
+                self.risen.retain(|(_, id, _)| *id != lane_id);
+                self.risen.push_back((now, lane_id, lane.recent / lane.usual));
+                if self.risen.len() > TELLING {
+                    self.risen.pop_front();
+                }
+                if slow {
                     lane.cut(now, sent);
                 } else {
                     lane.grow(slots);
@@ -740,8 +750,8 @@
     /// everything, as of the network or this machine, that would mark all receivers slow; it may hide a sick
     /// receiver among many that are sick together.
     fn common_rise(&self) -> f64 {
-        let lately = |lane: &&Lane| lane.usual > 0.0 && self.now.since(lane.last_used) < LATELY;
-        let mut rises: Vec<f64> = self.lanes.values().filter(lately).map(|l| l.recent / l.usual).collect();
+        let lately = self.risen.iter().filter(|(at, ..)| self.now.since(*at) < LATELY);
+        let mut rises: Vec<f64> = lately.map(|(.., rise)| *rise).collect();
         rises.sort_by(f64::total_cmp);
         // Of one or two lanes none can stand for the rest.
         if rises.len() < 3 { 1.0 } else { rises[(rises.len() - 1) / 2].max(1.0) }
