Shut connections that will most likely rest past half their life

A sender now counts what it is handed for a destination and shuts a connection at once where the next text is expected later than half the time after which an idle connection is shut. Should also help where idle connections are dropped unseen. May hurt where texts come sooner than before: a new connection each.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -120,6 +120,8 @@
 #[serde(rename_all = "kebab-case")]
 pub struct Ceilings {
     pub max_attempts: usize,
+    #[serde(default)]
+    pub keepalive_ms: f64,
     pub most_held: usize,
     #[serde(default)]
     pub retry_after: bool,
--- a/src/api.rs
+++ b/src/api.rs
@@ -65,6 +65,8 @@
     pub must_ask_in: Span,
     pub longest_advice: Option<Span>,
     pub tick: Span,
+    /// An idle connection is shut after so long.
+    pub keeps_alive: Span,
     pub cold_share: f64,
     pub cold_span: Span,
     pub tip_multiple: f64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,9 +32,8 @@
 const LONGEST_TRIAL: Span = Span::millis(1_200);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
-/// This part of an equal share in the budget of a cold destination is used. It may exceed 1: the budget goes
-/// by capacity, and the rate known here is a limit or what was delivered, both under it; the others seldom
-/// use theirs.
+/// How much of its part in the budget of a cold destination a sender uses. It may exceed 1: the budget goes by
+/// capacity, and the rate known here is a limit or what was delivered, both under it.
 const COLD_PART: f64 = 1.2;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
@@ -55,6 +54,11 @@
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
 const SILENT_AT_LEAST: Span = Span::millis(500);
+/// An idle connection is kept if its next use is expected within this part of its life.
+const KEPT_PART: f64 = 0.5;
+/// What is handed in for a destination is counted over this span, and over the least of it at the start.
+const DEMAND_SPAN: f64 = 15.0;
+const DEMAND_LEAST: f64 = 2.0;
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
@@ -113,6 +117,9 @@
     /// Texts never in doubt that are not out: any of them may be given up to make room.
     sure: BTreeSet<TextId>,
     held: usize,
+    /// Texts handed in, fading over the span in which they are counted, and when that was last brought up.
+    asked: f64,
+    asked_at: Moment,
     endpoints: Vec<EndpointId>,
     units: f64,
     /// Its place in the line of those that may send, and when it is next looked at.
@@ -123,6 +130,12 @@
 /// Fresh before rescheduled, then the fewest calls out, then the newest text.
 type Rank = (bool, usize, Reverse<TextId>, DestId);
 
+impl Hold {
+    fn faded(&self, now: Moment) -> f64 {
+        (-now.since(self.asked_at).as_secs() / DEMAND_SPAN).exp()
+    }
+}
+
 struct Call {
     endpoint: EndpointId,
     sent: Moment,
@@ -174,8 +187,7 @@
             return;
         }
         // An answer that came after this call had left shows the receiver alive: a single loss is no outage.
-        // Calls that left before the last strike was known tell of the same trouble once more; but two time-outs,
-        // unlike one lost answer, are silence.
+        // Calls from before the last strike tell of the same trouble once more; but two time-outs are silence.
         if self.last_ok >= sent || (sent < self.struck_at && !silent) {
             return;
         }
@@ -264,7 +276,7 @@
     held: usize,
     longest: BTreeSet<(usize, DestId)>,
     asks_failed: u32,
-    started: bool,
+    started: Option<Moment>,
     now: Moment,
     actions: Vec<Action>,
 }
@@ -339,9 +351,9 @@
     /// Takes all that happened at `now`, in order, and returns what to do about it, in order.
     pub fn step(&mut self, now: Moment, events: Vec<Event>) -> Vec<Action> {
         self.now = now;
-        let mut beat = !self.started;
-        if !self.started {
-            self.started = true;
+        let mut beat = self.started.is_none();
+        if beat {
+            self.started = Some(now);
             if self.settings.must_subscribe {
                 self.actions.push(Action::Subscribe { on: true });
             }
@@ -349,8 +361,8 @@
         for event in events {
             match event {
                 Event::Listed { scope, entries } => self.listed(scope, entries),
-                Event::Taken { text, product, dest, key, valid_until } => {
-                    self.taken(text, product, dest, key, valid_until)
+                Event::Taken { text, product, dest, key, valid_until: end } => {
+                    self.taken(text, product, dest, key, end)
                 }
                 Event::Outcome(outcome) => self.outcome(outcome),
                 Event::Withdrawn(text) => self.end(text),
@@ -417,7 +429,11 @@
         let text = Text { dest, product, key, valid_until: end, submits: 0, out: None, doubt: None, place };
         self.dues.insert((end - ANSWER_MARGIN, Due::End(id)));
         self.texts.insert(id, text);
-        self.holds.entry(dest).or_default().sure.insert(id);
+        let now = self.now;
+        let hold = self.holds.entry(dest).or_default();
+        hold.sure.insert(id);
+        hold.asked = hold.asked * hold.faded(now) + 1.0;
+        hold.asked_at = now;
         self.count_held(dest, 1);
         match key {
             None => self.put(id, Place::Fresh),
@@ -462,8 +478,7 @@
         }
     }
 
-    /// Gives the turn of a key to the next text in line, once the last one is ended and its submits are
-    /// known.
+    /// Gives the turn of a key to the next text in line, once the last is ended and its submits known.
     fn advance(&mut self, key: KeyId) {
         let Some(keyed) = self.keys.get_mut(&key) else { return };
         while keyed.line.front().is_some_and(|id| !self.texts.contains_key(id)) {
@@ -537,10 +552,9 @@
         self.end(id);
     }
 
-    /// Guards against any receiver, sick or crowded, whose texts fill the room for all: beyond it texts are
-    /// turned away unseen, those for sound receivers too. The longest hold gives up its stalest text, while
-    /// it can still be handed in again. It may hurt where clients never come again and the hold would have
-    /// emptied soon.
+    /// Guards against any receiver whose texts fill the room for all: beyond it texts are turned away unseen. The
+    /// longest hold gives up its stalest text, while it can still be handed in again. It may hurt where clients
+    /// never come again and the hold would have emptied soon.
     fn make_room(&mut self) {
         let kept = ((self.settings.max_held as f64 * ROOM_KEPT) as usize).max(1);
         while self.held + kept > self.settings.max_held {
@@ -624,8 +638,8 @@
             let known = self.known_rate(lane);
             let lane = self.lanes.get_mut(&lane).expect("a lane with calls out stays");
             lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
-            // All who were told to wait come back at the same moment, and those turned away may use up the limit
-            // again: senders take turns by their own number, a call of the known rate apart.
+            // All who were told to wait come back at the same moment, and may use up the limit again: senders
+            // take turns by their own number, a call of the known rate apart.
             if known > 0.0 {
                 let turn = Span::from_millis(1000.0 * self.settings.ordinal as f64 / known);
                 lane.paced = lane.paced.max(lane.wait_until + turn);
@@ -641,6 +655,7 @@
             self.lanes.get_mut(&lane).expect("a lane with calls out stays").calls.remove(&call_id);
         }
         self.touched.insert(self.endpoints[&endpoint].dest);
+        self.close_idle(endpoint);
         if ended {
             self.end(id);
         } else {
@@ -730,8 +745,7 @@
         (at.dest, self.settings.kinds[at.kind.0].routes_apart.then_some(endpoint))
     }
 
-    /// Calls a second that the lane's receiver takes from all senders by its list or its own word; 0 if
-    /// unknown.
+    /// Calls a second that the receiver takes from all senders by its list or its own word; 0 if unknown.
     fn known_rate(&self, id: LaneId) -> f64 {
         let told = self.lanes.get(&id).map_or(0.0, |lane| lane.told_rate);
         let units = match id.1 {
@@ -746,9 +760,8 @@
         if told > 0.0 { told } else { listed }
     }
 
-    /// How far answer times have risen at the middle one of the lanes lately used. Guards against a slowdown of
-    /// everything, as of the network or this machine, that would mark all receivers slow; it may hide a sick
-    /// receiver among many that are sick together.
+    /// How far answer times have risen at the middle one of the lanes lately used. Guards against a slowdown
+    /// of everything that would mark all receivers slow; it may hide one among many that are sick together.
     fn common_rise(&self) -> f64 {
         let lately = self.risen.iter().filter(|(at, ..)| self.now.since(*at) < LATELY);
         let mut rises: Vec<f64> = lately.map(|(.., rise)| *rise).collect();
@@ -757,6 +770,27 @@
         if rises.len() < 3 { 1.0 } else { rises[(rises.len() - 1) / 2].max(1.0) }
     }
 
+    /// Texts a second that this sender is handed for a destination.
+    fn demand(&self, dest: DestId) -> f64 {
+        let counted = self.started.map_or(0.0, |start| self.now.since(start).as_secs());
+        let span = DEMAND_SPAN * (1.0 - (-counted.max(DEMAND_LEAST) / DEMAND_SPAN).exp());
+        self.holds.get(&dest).map_or(0.0, |hold| hold.asked * hold.faded(self.now) / span)
+    }
+
+    /// A connection that will most likely not be used again before it runs out is shut at once. Guards against
+    /// receivers that take few connections, idle ones counted, which many senders with little traffic fill, and
+    /// against connections dropped unseen at rest, whose next call is lost. It costs a new connection where
+    /// the next text comes sooner than texts came so far.
+    fn close_idle(&mut self, id: EndpointId) {
+        let at = &self.endpoints[&id];
+        let hold = &self.holds[&at.dest];
+        let pause = hold.endpoints.len() as f64 / self.demand(at.dest).max(1e-3);
+        let idle = at.calls.is_empty() && hold.fresh.is_empty() && hold.ready.is_empty();
+        if idle && pause > self.settings.keeps_alive.as_secs() * KEPT_PART {
+            self.actions.push(Action::CloseIdle { endpoint: id });
+        }
+    }
+
     /// Calls a second that the lane's receiver takes when warm, as far as this sender can tell.
     fn warm_rate(&self, id: LaneId) -> f64 {
         match self.known_rate(id) {
@@ -780,9 +814,8 @@
         self.cold_gap(id, self.now) * part
     }
 
-    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against
-    /// hung, silent and very slow receivers, which would draw in a slot a call until the first time-out; it
-    /// may hurt where one slow call among few is all that is wrong.
+    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung and
+    /// silent receivers, which would draw in slots until the first time-out; one slow call of few may hurt.
     fn silent(&self, lane: &Lane, health: &Health, calls: &BTreeSet<u64>) -> bool {
         let sent = calls.first().map(|oldest| self.calls[oldest].sent);
         sent.is_some_and(|sent| self.now.since(sent) > lane.patience() && health.last_ok <= sent)
@@ -880,9 +913,8 @@
         let at = &self.endpoints[&endpoint];
         let (kind, zone) = (at.kind, at.zone);
         let hold = &self.holds[&dest];
-        // A trial call most likely fails and leaves its texts in doubt: one text is enough to ask, one that
-        // has been submitted before rather than a fresh one, and a once-only text, which would be lost, last
-        // of all.
+        // A trial call most likely fails and leaves its texts in doubt: one is enough to ask, one submitted
+        // before rather than a fresh one, and a once-only text, which would be lost, last of all.
         let down = self.lanes[&lane_id].health.state == State::Down;
         let most = if down { 1 } else { self.settings.kinds[kind.0].texts_per_call };
         let takes = |id: &&TextId| {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,6 +37,7 @@
         must_ask_in: Span::millis(10_000),
         longest_advice: Some(Span::millis(2000)),
         tick: Span::millis(5),
+        keeps_alive: Span::millis(10_000),
         cold_share: 0.2,
         cold_span: Span::millis(10_000),
         tip_multiple: 2.0,
@@ -52,6 +53,7 @@
     submits: std::collections::BTreeMap<usize, usize>,
     told: Option<f64>,
     latency: i64,
+    closed: usize,
 }
 
 fn entry(endpoint: usize, dest: usize, kind: usize, condition: Condition) -> Entry {
@@ -74,6 +76,7 @@
             submits: Default::default(),
             told: None,
             latency: 100,
+            closed: 0,
         };
         let list = |n, dest| entry(n, dest, kind, Condition::Running);
         bench.list(Scope::Persisted, vec![list(0, 0), list(1, 0), list(2, 1)]);
@@ -87,11 +90,14 @@
     fn step(&mut self, events: Vec<Event>) -> Vec<Action> {
         let actions = self.rules.step(self.at(self.now), events);
         for action in &actions {
-            if let Action::Submit { text, .. } = action {
-                *self.submits.entry(text.0).or_default() += 1;
+            match action {
+                Action::Submit { text, .. } => *self.submits.entry(text.0).or_default() += 1,
+                Action::CloseIdle { .. } => self.closed += 1,
+                _ => {}
             }
         }
-        actions.into_iter().filter(|a| !matches!(a, Action::WakeAt(_))).collect()
+        let quiet = |a: &Action| matches!(a, Action::WakeAt(_) | Action::CloseIdle { .. });
+        actions.into_iter().filter(|a| !quiet(a)).collect()
     }
 
     fn list(&mut self, scope: Scope, entries: Vec<Entry>) -> Vec<Action> {
@@ -644,3 +650,19 @@
         assert_eq!(!submits(&bench.take(1, 0, 0)).is_empty(), goes, "{dead} dead");
     }
 }
+
+#[test]
+fn connections_are_shut_where_texts_are_rare() {
+    // pause between texts, whether connections are left open once that is known
+    for (pause, kept) in [(1_000.0, true), (12_000.0, false)] {
+        let mut bench = Bench::new(settings(), 0);
+        for n in 0..6 {
+            let out = submits(&bench.take(1, 0, 1));
+            bench.now += 100.0;
+            bench.closed = 0;
+            bench.answer(n, out[0].1, Verdict::Delivered, None);
+            bench.pass(pause);
+        }
+        assert_eq!(bench.closed == 0, kept, "every {pause} ms");
+    }
+}
