--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -168,7 +168,6 @@
             .retry_after
             .then(|| Span::from_millis(info.ceilings.max_retry_after_ms)),
         tick: Span::from_millis(info.tick_ms),
-        connect_time_out: Span::from_millis(info.ceilings.connect_timeout_ms),
         keeps_alive: Span::from_millis(info.ceilings.keepalive_ms),
         cold_share: info.obligations.cold_share,
         cold_span: Span::from_millis(info.obligations.cold_ms),
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -121,8 +121,6 @@
 pub struct Ceilings {
     pub max_attempts: usize,
     #[serde(default)]
-    pub connect_timeout_ms: f64,
-    #[serde(default)]
     pub keepalive_ms: f64,
     pub most_held: usize,
     #[serde(default)]
--- a/src/api.rs
+++ b/src/api.rs
@@ -65,7 +65,6 @@
     pub must_ask_in: Span,
     pub longest_advice: Option<Span>,
     pub tick: Span,
-    pub connect_time_out: Span,
     /// An idle connection is shut after so long.
     pub keeps_alive: Span,
     pub cold_share: f64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,8 @@
 const LONGEST_TRIAL: Span = Span::millis(1_200);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
-/// How much of its part in the budget of a cold destination a sender uses. It may exceed 1: the budget goes
-/// by capacity, and the rate known here is a limit or what was delivered, both under it.
+/// How much of its part in the budget of a cold destination a sender uses. It may exceed 1: the budget goes by
+/// capacity, and the rate known here is a limit or what was delivered, both under it.
 const COLD_PART: f64 = 1.2;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
@@ -187,8 +187,7 @@
             return;
         }
         // An answer that came after this call had left shows the receiver alive: a single loss is no outage.
-        // Calls from before the last strike tell of the same trouble once more; but two time-outs are
-        // silence.
+        // Calls from before the last strike tell of the same trouble once more; but two time-outs are silence.
         if self.last_ok >= sent || (sent < self.struck_at && !silent) {
             return;
         }
@@ -553,9 +552,9 @@
         self.end(id);
     }
 
-    /// Guards against any receiver whose texts fill the room for all: beyond it texts are turned away unseen.
-    /// The longest hold gives up its stalest text, while it can still be handed in again. It may hurt where
-    /// clients never come again and the hold would have emptied soon.
+    /// Guards against any receiver whose texts fill the room for all: beyond it texts are turned away unseen. The
+    /// longest hold gives up its stalest text, while it can still be handed in again. It may hurt where clients
+    /// never come again and the hold would have emptied soon.
     fn make_room(&mut self) {
         let kept = ((self.settings.max_held as f64 * ROOM_KEPT) as usize).max(1);
         while self.held + kept > self.settings.max_held {
@@ -716,9 +715,6 @@
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
             Verdict::TimeOut if cut_short => 1,
             Verdict::Error | Verdict::Reset | Verdict::Full => 1,
-            // Turned away long before the time for a connection was over: somebody is there, and takes no more
-            // connections just now.
-            Verdict::ConnectFailed if outcome.latency < self.settings.connect_time_out * 0.5 => 1,
             Verdict::TimeOut | Verdict::ConnectFailed => 3,
         };
         if outcome.verdict == Verdict::TimeOut && sent >= lane.cut_at {
@@ -781,10 +777,10 @@
         self.holds.get(&dest).map_or(0.0, |hold| hold.asked * hold.faded(self.now) / span)
     }
 
-    /// A connection that will most likely not be used again before it runs out is shut at once. Guards
-    /// against receivers that take few connections, idle ones counted, which many senders with little traffic
-    /// fill, and against connections dropped unseen at rest, whose next call is lost. It costs a new
-    /// connection where the next text comes sooner than texts came so far.
+    /// A connection that will most likely not be used again before it runs out is shut at once. Guards against
+    /// receivers that take few connections, idle ones counted, which many senders with little traffic fill, and
+    /// against connections dropped unseen at rest, whose next call is lost. It costs a new connection where
+    /// the next text comes sooner than texts came so far.
     fn close_idle(&mut self, id: EndpointId) {
         let at = &self.endpoints[&id];
         let hold = &self.holds[&at.dest];
@@ -818,9 +814,8 @@
         self.cold_gap(id, self.now) * part
     }
 
-    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung
-    /// and silent receivers, which would draw in slots until the first time-out; one slow call of few may
-    /// hurt.
+    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung and
+    /// silent receivers, which would draw in slots until the first time-out; one slow call of few may hurt.
     fn silent(&self, lane: &Lane, health: &Health, calls: &BTreeSet<u64>) -> bool {
         let sent = calls.first().map(|oldest| self.calls[oldest].sent);
         sent.is_some_and(|sent| self.now.since(sent) > lane.patience() && health.last_ok <= sent)
