Start a lane with a quarter of its known rate at least; cuts and rises go by own demand

Holds filled up and a fifth of the texts were turned away. A lane now starts with 2/(n+1) of the known rate or a quarter, whichever is more; the floor of its cuts and its rise go by an equal part or by what the sender is handed (counted over 15 s), whichever is more. Small fleets start as before. Covers any fleet in which a few senders have the texts for a receiver; may hurt where many have a clump for one receiver at the same moment.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,8 @@
 const LONGEST_TRIAL: Span = Span::millis(1_200);
 /// Strikes in a row, one a round trip at most, after which a lane or endpoint is held to be down.
 const STRIKES_OUT: u32 = 6;
-/// How much of its part in the budget of a cold destination a sender uses. It may exceed 1: the budget goes by
-/// capacity, and the rate known here is a limit or what was delivered, both under it.
+/// How much of its part in the budget of a cold destination a sender uses. It may exceed 1: the budget goes
+/// by capacity, and the rate known here is a limit or what was delivered, both under it.
 const COLD_PART: f64 = 1.2;
 /// Calls a second that any destination is trusted to take when warm, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
@@ -51,6 +51,7 @@
 const PACE_RISE: f64 = 0.1;
 const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
+const FIRST_PART: f64 = 0.25;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
 const SILENT_AT_LEAST: Span = Span::millis(500);
@@ -62,19 +63,15 @@
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
+/// What falls due: texts to go again or to be ended, a key's rest, the list to be asked for, lanes to be
+/// looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    /// A rescheduled text may go out again.
     Text(TextId),
-    /// A text has to be ended.
     End(TextId),
-    /// A key has rested.
     Key(KeyId),
-    /// The list is to be asked for.
     Ask,
-    /// A lane of the destination may open again.
     Lane(DestId),
-    /// A lane may have been without calls for a quiet spell.
     Idle(LaneId),
 }
 
@@ -187,7 +184,8 @@
             return;
         }
         // An answer that came after this call had left shows the receiver alive: a single loss is no outage.
-        // Calls from before the last strike tell of the same trouble once more; but two time-outs are silence.
+        // Calls from before the last strike tell of the same trouble once more; but two time-outs are
+        // silence.
         if self.last_ok >= sent || (sent < self.struck_at && !silent) {
             return;
         }
@@ -367,7 +365,7 @@
                 Event::Outcome(outcome) => self.outcome(outcome),
                 Event::Withdrawn(text) => self.end(text),
                 Event::Woken => beat = true,
-                Event::Probed { .. } | Event::Streaming { .. } | Event::Heard { .. } => {}
+                _ => {}
             }
         }
         while let Some(&(at, due)) = self.dues.first()
@@ -552,9 +550,9 @@
         self.end(id);
     }
 
-    /// Guards against any receiver whose texts fill the room for all: beyond it texts are turned away unseen. The
-    /// longest hold gives up its stalest text, while it can still be handed in again. It may hurt where clients
-    /// never come again and the hold would have emptied soon.
+    /// Guards against any receiver whose texts fill the room for all: beyond it texts are turned away unseen.
+    /// The longest hold gives up its stalest text, while it can still be handed in again. It may hurt where
+    /// clients never come again and the hold would have emptied soon.
     fn make_room(&mut self) {
         let kept = ((self.settings.max_held as f64 * ROOM_KEPT) as usize).max(1);
         while self.held + kept > self.settings.max_held {
@@ -675,6 +673,7 @@
             self.holds.get(&lane_id.0).is_some_and(|hold| !hold.fresh.is_empty() || !hold.ready.is_empty());
         let known = self.known_rate(lane_id);
         let senders = self.settings.senders.max(1) as f64;
+        let part = (known / senders).max(self.demand(lane_id.0).min(known));
         let jitter = 0.8 + 0.4 * self.chance.share();
         let slots = self.settings.slots;
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
@@ -682,7 +681,7 @@
         if let Some(allowance) = outcome.allowance {
             lane.told_rate = allowance.calls_per_sec;
             if lane.pace == 0.0 {
-                lane.pace = lane.told_rate * 2.0 / (senders + 1.0);
+                lane.pace = lane.told_rate * first_part(senders);
             }
         }
         let weight = match outcome.verdict {
@@ -694,8 +693,8 @@
                 lane.count_delivered(now);
                 if lane.pace > 0.0 && backlog {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
-                    let share = if known > 0.0 { known / senders } else { lane.pace.max(1.0) };
-                    lane.pace = (lane.pace + PACE_RISE * share / lane.pace.max(1.0)).min(most);
+                    let part = if known > 0.0 { part } else { lane.pace.max(1.0) };
+                    lane.pace = (lane.pace + PACE_RISE * part / lane.pace.max(1.0)).min(most);
                 }
                 let slow = lane.learn(outcome.latency.as_millis(), common);
                 self.risen.retain(|(_, id, _)| *id != lane_id);
@@ -722,7 +721,7 @@
         }
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
             let from = if lane.pace > 0.0 { lane.pace } else { lane.best.max(lane.count).max(1.0) };
-            let least = if known > 0.0 { known / senders / 2.0 } else { LEAST_PACE };
+            let least = if known > 0.0 { part / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
         }
@@ -777,10 +776,10 @@
         self.holds.get(&dest).map_or(0.0, |hold| hold.asked * hold.faded(self.now) / span)
     }
 
-    /// A connection that will most likely not be used again before it runs out is shut at once. Guards against
-    /// receivers that take few connections, idle ones counted, which many senders with little traffic fill, and
-    /// against connections dropped unseen at rest, whose next call is lost. It costs a new connection where
-    /// the next text comes sooner than texts came so far.
+    /// A connection that will most likely not be used again before it runs out is shut at once. Guards
+    /// against receivers that take few connections, idle ones counted, which many senders with little traffic
+    /// fill, and against connections dropped unseen at rest, whose next call is lost. It costs a new
+    /// connection where the next text comes sooner than texts came so far.
     fn close_idle(&mut self, id: EndpointId) {
         let at = &self.endpoints[&id];
         let hold = &self.holds[&at.dest];
@@ -814,8 +813,9 @@
         self.cold_gap(id, self.now) * part
     }
 
-    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung and
-    /// silent receivers, which would draw in slots until the first time-out; one slow call of few may hurt.
+    /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung
+    /// and silent receivers, which would draw in slots until the first time-out; one slow call of few may
+    /// hurt.
     fn silent(&self, lane: &Lane, health: &Health, calls: &BTreeSet<u64>) -> bool {
         let sent = calls.first().map(|oldest| self.calls[oldest].sent);
         sent.is_some_and(|sent| self.now.since(sent) > lane.patience() && health.last_ok <= sent)
@@ -905,7 +905,7 @@
     fn call(&mut self, dest: DestId, endpoint: EndpointId) -> bool {
         let lane_id = self.lane_of(endpoint);
         let slots = self.settings.slots;
-        let start = self.known_rate(lane_id) * 2.0 / (self.settings.senders as f64 + 1.0);
+        let start = self.known_rate(lane_id) * first_part(self.settings.senders as f64);
         self.lanes.entry(lane_id).or_insert_with(|| {
             self.dues.insert((self.now + QUIET_SPELL, Due::Idle(lane_id)));
             Lane { window: (slots / 2).max(1), pace: start, ..Lane::default() }
@@ -996,6 +996,11 @@
     }
 }
 
+/// The part of a known rate that a sender starts with; of many senders most leave theirs to the others.
+fn first_part(senders: f64) -> f64 {
+    (2.0 / (senders + 1.0)).max(FIRST_PART)
+}
+
 fn lanes_of(dest: DestId) -> std::ops::RangeInclusive<LaneId> {
     (dest, None)..=(dest, Some(EndpointId(usize::MAX)))
 }
