--- a/src/rules.rs
+++ b/src/rules.rs
@@ -637,14 +637,9 @@
             let lane = self.lanes.get_mut(&lane).expect("a lane with calls out stays");
             lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
             // All who were told to wait come back at the same moment, and may use up the limit again: senders
-            // take turns by their own number, a call of the known rate apart; but all turns together last no
-            // longer than a few such waits, twice as many with each strike, or the last of many senders would
-            // wait for others that have no text.
+            // take turns by their own number, a call of the known rate apart.
             if known > 0.0 {
-                let senders = self.settings.senders.max(1) as f64;
-                let all = wait * f64::from(4 << lane.health.strikes.min(6));
-                let all = Span::from_millis(1000.0 * senders / known).min(all);
-                let turn = all * (self.settings.ordinal as f64 / senders);
+                let turn = Span::from_millis(1000.0 * self.settings.ordinal as f64 / known);
                 lane.paced = lane.paced.max(lane.wait_until + turn);
             }
         }
