Divide the budget of a cold receiver by what a sender is handed, an equal part at least

Cause: one of 200 senders took a two-hundredth of the cold budget, a trial each two minutes, so that a receiver that came back got next to nothing through its cold span. The part is now what the sender is handed for the receiver (counted over 15 s, never above the known rate), an equal part at least; where no rate is known 1.5 times the mean of what it is handed, never above its best second. Small fleets keep their equal part. May push where many senders hold texts at the same moment.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,7 +35,9 @@
 /// How much of its part in the budget of a cold destination a sender uses. It may exceed 1: the budget goes
 /// by capacity, and the rate known here is a limit or what was delivered, both under it.
 const COLD_PART: f64 = 1.2;
-/// Calls a second that any destination is trusted to take when warm, where nothing else is known.
+/// Where no rate is known, what a sender is handed at its peaks is this much over its mean.
+const PEAK: f64 = 1.5;
+/// Calls a second that a warm destination is trusted to take, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
 const RISEN: f64 = 2.5;
@@ -673,7 +675,7 @@
             self.holds.get(&lane_id.0).is_some_and(|hold| !hold.fresh.is_empty() || !hold.ready.is_empty());
         let known = self.known_rate(lane_id);
         let senders = self.settings.senders.max(1) as f64;
-        let part = (known / senders).max(self.demand(lane_id.0).min(known));
+        let part = self.part(lane_id);
         let jitter = 0.8 + 0.4 * self.chance.share();
         let slots = self.settings.slots;
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
@@ -790,11 +792,14 @@
         }
     }
 
-    /// Calls a second that the lane's receiver takes when warm, as far as this sender can tell.
-    fn warm_rate(&self, id: LaneId) -> f64 {
+    /// This sender's part of what a lane's receiver takes: an equal one, or as much as it is handed where
+    /// that is more, as most of many senders have no text for a receiver.
+    fn part(&self, id: LaneId) -> f64 {
+        let demand = self.demand(id.0);
+        let senders = self.settings.senders.max(1) as f64;
         match self.known_rate(id) {
-            0.0 => (self.lanes[&id].best * self.settings.senders as f64).max(LEAST_RATE),
-            known => known,
+            0.0 => self.lanes[&id].best.min(demand * PEAK).max(LEAST_RATE / senders),
+            known => demand.min(known).max(known / senders),
         }
     }
 
@@ -802,8 +807,8 @@
     fn cold_gap(&self, id: LaneId, since: Moment) -> Span {
         let warmth = (self.now.since(since).as_secs() / self.settings.cold_span.as_secs().max(1e-3)).min(1.0);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * warmth;
-        let budget = self.settings.tip_multiple * share * self.warm_rate(id) * COLD_PART;
-        Span::from_millis(1000.0 * self.settings.senders as f64 / budget.max(1e-3))
+        let budget = self.settings.tip_multiple * share * self.part(id) * COLD_PART;
+        Span::from_millis(1000.0 / budget.max(1e-3))
     }
 
     /// Senders take turns at what has just come back: each starts its part of the gap later than the one
