--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,10 +54,6 @@
 const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
 const FIRST_PART: f64 = 0.25;
-/// Turns after a told wait get this much longer with a call turned away, and shorter with one delivered.
-const CROWDING: f64 = 2.0;
-const UNCROWDING: f64 = 0.9;
-const MOST_CROWDED: f64 = 100.0;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
 const SILENT_AT_LEAST: Span = Span::millis(500);
@@ -278,8 +274,6 @@
     risen: VecDeque<(Moment, LaneId, f64)>,
     line: BTreeSet<Rank>,
     held: usize,
-    /// How much longer than a told wait the turns after it last: more while many calls are turned away.
-    crowding: f64,
     longest: BTreeSet<(usize, DestId)>,
     asks_failed: u32,
     started: Option<Moment>,
@@ -645,13 +639,9 @@
             let lane = self.lanes.get_mut(&lane).expect("a lane with calls out stays");
             lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
             // All who were told to wait come back at the same moment, and may use up the limit again: senders
-            // take turns by their own number, a call of the known rate apart; but where few calls are turned
-            // away all turns together last no longer than one more such wait, or the last of many senders
-            // would wait for others that have no text.
+            // take turns by their own number, a call of the known rate apart.
             if known > 0.0 {
-                let senders = self.settings.senders.max(1) as f64;
-                let all = Span::from_millis(1000.0 * senders / known).min(wait * self.crowding);
-                let turn = all * (self.settings.ordinal as f64 / senders);
+                let turn = Span::from_millis(1000.0 * self.settings.ordinal as f64 / known);
                 lane.paced = lane.paced.max(lane.wait_until + turn);
             }
         }
@@ -702,7 +692,6 @@
                 endpoint.health.succeeded(now, turn, cold);
                 lane.health.succeeded(now, turn, cold);
                 lane.time_outs = 0;
-                self.crowding = (self.crowding * UNCROWDING).max(1.0);
                 lane.count_delivered(now);
                 if lane.pace > 0.0 && backlog {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
@@ -733,7 +722,6 @@
             lane.time_outs += 1;
         }
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
-            self.crowding = (self.crowding * CROWDING).clamp(CROWDING, MOST_CROWDED);
             let from = if lane.pace > 0.0 { lane.pace } else { lane.best.max(lane.count).max(1.0) };
             let least = if known > 0.0 { part / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
