--- a/src/rules.rs
+++ b/src/rules.rs
@@ -634,17 +634,14 @@
         let ended = text.place == Place::Ended || outcome.ended || outcome.verdict == Verdict::Delivered;
         if let Some(wait) = outcome.told_wait {
             // Each text of a call may be told its own wait; the longest holds them all.
-            let lane_id = self.lane_of(endpoint);
-            let known = self.known_rate(lane_id);
-            let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
+            let lane = self.lane_of(endpoint);
+            let known = self.known_rate(lane);
+            let lane = self.lanes.get_mut(&lane).expect("a lane with calls out stays");
             lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
             // All who were told to wait come back at the same moment, and may use up the limit again: senders
-            // take turns by their own number, within the gap at which their part of the limit lets calls
-            // through.
+            // take turns by their own number, a call of the known rate apart.
             if known > 0.0 {
-                let gap = Span::from_millis(1000.0 / self.part(lane_id));
-                let turn = gap * (self.settings.ordinal as f64 / self.settings.senders.max(1) as f64);
-                let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
+                let turn = Span::from_millis(1000.0 * self.settings.ordinal as f64 / known);
                 lane.paced = lane.paced.max(lane.wait_until + turn);
             }
         }
