Shut idle connections only for a while after one of their kind was refused or lost

A call that found no connection, timed out or was reset now opens a spell of 20 s in which idle connections to that kind of destination are shut where the next text is far. Covers tables that are full and connections dropped unseen; an outage brings the spell too, which costs some new connections.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,8 @@
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
 const SILENT_AT_LEAST: Span = Span::millis(500);
+/// For so long after a connection of its kind was refused or lost, and not otherwise, idle ones are shut.
+const LOST_SPAN: Span = Span::millis(20_000);
 /// An idle connection is kept if its next use is expected within this part of its life.
 const KEPT_PART: f64 = 0.5;
 /// What is handed in for a destination is counted over this span, and over the least of it at the start.
@@ -274,6 +276,8 @@
     risen: VecDeque<(Moment, LaneId, f64)>,
     line: BTreeSet<Rank>,
     held: usize,
+    /// When a call to a kind of destination last found no connection, or was lost on one that had rested.
+    lost: BTreeMap<KindId, Moment>,
     longest: BTreeSet<(usize, DestId)>,
     asks_failed: u32,
     started: Option<Moment>,
@@ -646,6 +650,9 @@
             }
         }
         if first_word {
+            if matches!(outcome.verdict, Verdict::ConnectFailed | Verdict::Reset | Verdict::TimeOut) {
+                self.lost.insert(self.endpoints[&endpoint].kind, self.now);
+            }
             self.judge(endpoint, sent, cut_short, &outcome);
         }
         if done {
@@ -787,7 +794,8 @@
         let hold = &self.holds[&at.dest];
         let pause = hold.endpoints.len() as f64 / self.demand(at.dest).max(1e-3);
         let idle = at.calls.is_empty() && hold.fresh.is_empty() && hold.ready.is_empty();
-        if idle && pause > self.settings.keeps_alive.as_secs() * KEPT_PART {
+        let lost = self.lost.get(&at.kind).is_some_and(|lost| self.now.since(*lost) < LOST_SPAN);
+        if lost && idle && pause > self.settings.keeps_alive.as_secs() * KEPT_PART {
             self.actions.push(Action::CloseIdle { endpoint: id });
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -653,18 +653,23 @@
 }
 
 #[test]
-fn connections_are_shut_where_texts_are_rare() {
-    // pause between texts, whether connections are left open once that is known
-    for (pause, kept) in [(1_000.0, true), (12_000.0, false)] {
+fn connections_are_shut_where_texts_are_rare_and_some_get_none() {
+    // pause between texts, how the first submit ends, whether connections are left open after that
+    for (pause, first, kept) in [
+        (1_000.0, Verdict::ConnectFailed, true),
+        (12_000.0, Verdict::ConnectFailed, false),
+        (12_000.0, Verdict::TimeOut, false),
+        (12_000.0, Verdict::Delivered, true),
+    ] {
         let mut bench = Bench::new(settings(), 0);
         for n in 0..6 {
             let out = submits(&bench.take(1, 0, 1));
             bench.now += 100.0;
             bench.closed = 0;
-            bench.answer(n, out[0].1, Verdict::Delivered, None);
+            bench.answer(n, out[0].1, if n == 4 { first } else { Verdict::Delivered }, None);
             bench.pass(pause);
         }
-        assert_eq!(bench.closed == 0, kept, "every {pause} ms");
+        assert_eq!(bench.closed == 0, kept, "every {pause} ms after {first:?}");
     }
 }
 
