One count of what is handed in, also for peaks; a sound endpoint goes before one that is down

The best second delivered and what a sender is handed measured the same thing; where no rate is known, twice the mean of what is handed in now stands for a peak. The endpoint rank lacked a sound endpoint's precedence over one that is down and due for a trial: hidden before, since the larger gap kept the latter shut; found by the test of trials beside a dead endpoint.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,9 +15,8 @@
 const BEAT: Span = Span::millis(20);
 /// A lane without calls or texts for so long is dropped with all that it learnt.
 const QUIET_SPELL: Span = Span::millis(30_000);
-/// A text is ended so long before its validity period is over that the answer gets there: over a beat.
+/// A text is ended, and a submit cut, so long before the end of the validity period: more than a beat.
 const ANSWER_MARGIN: Span = Span::millis(28);
-/// A submit is cut so long before the end.
 const CUT_MARGIN: Span = Span::millis(12);
 /// A referenced text is not sent again so close to the end of its receiver's memory.
 const MEMORY_MARGIN: Span = Span::millis(300);
@@ -36,7 +35,7 @@
 /// by capacity, and the rate known here is a limit or what was delivered, both under it.
 const COLD_PART: f64 = 1.2;
 /// Where no rate is known, what a sender is handed at its peaks is this much over its mean.
-const PEAK: f64 = 1.5;
+const PEAK: f64 = 2.0;
 /// Calls a second that a warm destination is trusted to take, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
@@ -67,8 +66,6 @@
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
-/// What falls due: texts to go again or to be ended, a key's rest, the list to be asked for, lanes to be
-/// looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Text(TextId),
@@ -97,7 +94,7 @@
     valid_until: Moment,
     submits: usize,
     out: Option<u64>,
-    /// When and in which zone the first submit that may have run was sent.
+    /// When and where the first submit that may have run was sent.
     doubt: Option<(Moment, ZoneId)>,
     place: Place,
 }
@@ -118,7 +115,7 @@
     /// Texts never in doubt that are not out: any of them may be given up to make room.
     sure: BTreeSet<TextId>,
     held: usize,
-    /// Texts handed in, fading over the span in which they are counted, and when that was last brought up.
+    /// Texts handed in, fading with time, and when that was last brought up.
     asked: f64,
     asked_at: Moment,
     endpoints: Vec<EndpointId>,
@@ -188,8 +185,7 @@
             return;
         }
         // An answer that came after this call had left shows the receiver alive: a single loss is no outage.
-        // Calls from before the last strike tell of the same trouble once more; but two time-outs are
-        // silence.
+        // Calls from before the last strike tell of the same trouble again; but two time-outs are silence.
         if self.last_ok >= sent || (sent < self.struck_at && !silent) {
             return;
         }
@@ -250,10 +246,6 @@
     /// Calls a second that this sender allows itself; 0 while nothing limits it.
     pace: f64,
     paced: Moment,
-    /// Calls delivered in the present second, and the best second of late.
-    second: Moment,
-    count: f64,
-    best: f64,
 }
 
 type LaneId = (DestId, Option<EndpointId>);
@@ -315,15 +307,6 @@
         }
     }
 
-    fn count_delivered(&mut self, now: Moment) {
-        if now.since(self.second) >= Span::millis(1000) {
-            self.best = self.count.max(self.best * 0.97);
-            self.second = now;
-            self.count = 0.0;
-        }
-        self.count += 1.0;
-    }
-
     fn learn(&mut self, latency: f64, common: f64) -> bool {
         if self.usual == 0.0 {
             (self.usual, self.recent, self.spread) = (latency, latency, latency / 2.0);
@@ -546,7 +529,11 @@
                 State::Sound => lane.wait_until,
                 _ => lane.wait_until.max(lane.health.next),
             };
-            let until = self.lanes.range(lanes_of(text.dest)).map(|(_, lane)| held_until(lane)).min();
+            let until = self
+                .lanes
+                .range((text.dest, None)..=(text.dest, Some(EndpointId(usize::MAX))))
+                .map(|(_, lane)| held_until(lane))
+                .min();
             let wait = until.map_or(Span::ZERO, |until| until.since(self.now));
             let advice = self.settings.longest_advice.map(|most| wait.max(FIRST_PAUSE).min(most));
             self.actions.push(Action::Nack { text: id, come_back_after: advice });
@@ -699,7 +686,6 @@
                 endpoint.health.succeeded(now, turn, cold);
                 lane.health.succeeded(now, turn, cold);
                 lane.time_outs = 0;
-                lane.count_delivered(now);
                 if lane.pace > 0.0 && backlog {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let part = if known > 0.0 { part } else { lane.pace.max(1.0) };
@@ -729,7 +715,7 @@
             lane.time_outs += 1;
         }
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
-            let from = if lane.pace > 0.0 { lane.pace } else { lane.best.max(lane.count).max(1.0) };
+            let from = if lane.pace > 0.0 { lane.pace } else { part.max(1.0) };
             let least = if known > 0.0 { part / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
@@ -780,8 +766,8 @@
 
     /// Texts a second that this sender is handed for a destination.
     fn demand(&self, dest: DestId) -> f64 {
-        let counted = self.started.map_or(0.0, |start| self.now.since(start).as_secs());
-        let span = DEMAND_SPAN * (1.0 - (-counted.max(DEMAND_LEAST) / DEMAND_SPAN).exp());
+        let counted = self.now.since(self.started.unwrap_or(self.now)).as_secs().max(DEMAND_LEAST);
+        let span = DEMAND_SPAN * (1.0 - (-counted / DEMAND_SPAN).exp());
         self.holds.get(&dest).map_or(0.0, |hold| hold.asked * hold.faded(self.now) / span)
     }
 
@@ -806,7 +792,7 @@
         let demand = self.demand(id.0);
         let senders = self.settings.senders.max(1) as f64;
         match self.known_rate(id) {
-            0.0 => self.lanes[&id].best.min(demand * PEAK).max(LEAST_RATE / senders),
+            0.0 => (demand * PEAK).max(LEAST_RATE / senders),
             known => demand.min(known).max(known / senders),
         }
     }
@@ -822,8 +808,8 @@
     /// Senders take turns at what has just come back: each starts its part of the gap later than the one
     /// before.
     fn turn(&self, id: LaneId) -> Span {
-        let part = (self.settings.ordinal + 1) as f64 / self.settings.senders.max(1) as f64;
-        self.cold_gap(id, self.now) * part
+        let number = (self.settings.ordinal + 1) as f64;
+        self.cold_gap(id, self.now) * (number / self.settings.senders.max(1) as f64)
     }
 
     /// Whether a call of `health`'s owner has long been out with no answer since it left. Guards against hung
@@ -866,13 +852,14 @@
             // would all go to one dead endpoint beside a sound one.
             let struck = if lane_down { at.health.strikes } else { 0 };
             let recency = if struck > 0 { Ok(at.last_used) } else { Err(Reverse(at.last_used)) };
-            let rank = (lane_out, struck, at.calls.len(), recency, id);
+            let down = at.health.state == State::Down;
+            let rank = (lane_out, struck, at.calls.len(), down, recency, id);
             if best.as_ref().is_none_or(|least| rank < *least) {
                 best = Some(rank);
             }
         }
         let best = best.ok_or(opens)?;
-        Ok(((hold.fresh.is_empty(), best.0, Reverse(*newest), dest), best.4))
+        Ok(((hold.fresh.is_empty(), best.0, Reverse(*newest), dest), best.5))
     }
 
     /// Puts a destination in its place among those that may send.
@@ -1013,7 +1000,3 @@
 fn first_part(senders: f64) -> f64 {
     (2.0 / (senders + 1.0)).max(FIRST_PART)
 }
-
-fn lanes_of(dest: DestId) -> std::ops::RangeInclusive<LaneId> {
-    (dest, None)..=(dest, Some(EndpointId(usize::MAX)))
-}
