--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,6 +50,7 @@
 /// sender's equal share in a second of calls delivered, and lets calls through early by this span.
 const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.1;
+const CALL_RISE: f64 = 0.03;
 const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
 const FIRST_PART: f64 = 0.25;
@@ -689,7 +690,8 @@
                 if lane.pace > 0.0 && backlog {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let part = if known > 0.0 { part } else { lane.pace.max(1.0) };
-                    lane.pace = (lane.pace + PACE_RISE * part / lane.pace.max(1.0)).min(most);
+                    let rise = (PACE_RISE * part / lane.pace.max(1.0)).min(CALL_RISE * lane.pace);
+                    lane.pace = (lane.pace + rise).min(most);
                 }
                 let slow = lane.learn(outcome.latency.as_millis(), common);
                 self.risen.retain(|(_, id, _)| *id != lane_id);
