--- a/src/rules.rs
+++ b/src/rules.rs
@@ -718,7 +718,7 @@
         }
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
             let from = if lane.pace > 0.0 { lane.pace } else { part.max(1.0) };
-            let least = if known > 0.0 { part / 6.0 } else { LEAST_PACE };
+            let least = if known > 0.0 { part / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
         }
