--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,7 +51,6 @@
 const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.1;
 const CALL_RISE: f64 = 0.03;
-const CUT_FROM: f64 = 1.5;
 const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
 const FIRST_PART: f64 = 0.25;
@@ -718,7 +717,7 @@
             lane.time_outs += 1;
         }
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
-            let from = if lane.pace == 0.0 { part.max(1.0) } else { lane.pace.min(part * CUT_FROM) };
+            let from = if lane.pace > 0.0 { lane.pace } else { part.max(1.0) };
             let least = if known > 0.0 { part / 2.0 } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
