--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,9 +61,9 @@
 const LOST_SPAN: Span = Span::millis(20_000);
 /// An idle connection is kept if its next use is expected within this part of its life.
 const KEPT_PART: f64 = 0.5;
-/// What is delivered on a lane is counted over this span in seconds, and over the least of it at the start.
-const FLOW_SPAN: f64 = 15.0;
-const FLOW_LEAST: f64 = 2.0;
+/// What is handed in for a destination is counted over this span, and over the least of it at the start.
+const DEMAND_SPAN: f64 = 15.0;
+const DEMAND_LEAST: f64 = 2.0;
 /// First pause before the list is asked for again.
 const FIRST_ASK: Span = Span::millis(300);
 
@@ -116,6 +116,9 @@
     /// Texts never in doubt that are not out: any of them may be given up to make room.
     sure: BTreeSet<TextId>,
     held: usize,
+    /// Texts handed in, fading with time, and when that was last brought up.
+    asked: f64,
+    asked_at: Moment,
     endpoints: Vec<EndpointId>,
     units: f64,
     /// Its place in the line of those that may send, and when it is next looked at.
@@ -126,6 +129,12 @@
 /// Fresh before rescheduled, then the fewest calls out, then the newest text.
 type Rank = (bool, usize, Reverse<TextId>, DestId);
 
+impl Hold {
+    fn faded(&self, now: Moment) -> f64 {
+        (-now.since(self.asked_at).as_secs() / DEMAND_SPAN).exp()
+    }
+}
+
 struct Call {
     endpoint: EndpointId,
     sent: Moment,
@@ -238,9 +247,6 @@
     /// Calls a second that this sender allows itself; 0 while nothing limits it.
     pace: f64,
     paced: Moment,
-    /// Calls delivered, fading with time, and when that was last brought up.
-    flow: f64,
-    flow_at: Moment,
 }
 
 type LaneId = (DestId, Option<EndpointId>);
@@ -279,16 +285,12 @@
     }
 
     fn opens(&self, slots: usize) -> Option<Moment> {
-        let paced = self.paced - PACE_EARLY;
+        let paced = if self.pace == 0.0 { Moment::default() } else { self.paced - PACE_EARLY };
         let healthy = self.health.opens(self.calls.len())?;
         let room = self.calls.len() < self.window.min(self.cap(slots));
         room.then(|| self.wait_until.max(paced).max(healthy))
     }
 
-    fn faded(&self, now: Moment) -> f64 {
-        (-now.since(self.flow_at).as_secs() / FLOW_SPAN).exp()
-    }
-
     /// One overload answers many calls at once; those that left before the last cut count with it.
     fn cut(&mut self, now: Moment, sent: Moment) {
         if sent >= self.cut_at {
@@ -415,7 +417,11 @@
         let text = Text { dest, product, key, valid_until: end, submits: 0, out: None, doubt: None, place };
         self.dues.insert((end - ANSWER_MARGIN, Due::End(id)));
         self.texts.insert(id, text);
-        self.holds.entry(dest).or_default().sure.insert(id);
+        let now = self.now;
+        let hold = self.holds.entry(dest).or_default();
+        hold.sure.insert(id);
+        hold.asked = hold.asked * hold.faded(now) + 1.0;
+        hold.asked_at = now;
         self.count_held(dest, 1);
         match key {
             None => self.put(id, Place::Fresh),
@@ -681,8 +687,6 @@
                 endpoint.health.succeeded(now, turn, cold);
                 lane.health.succeeded(now, turn, cold);
                 lane.time_outs = 0;
-                lane.flow = lane.flow * lane.faded(now) + 1.0;
-                lane.flow_at = now;
                 if lane.pace > 0.0 && backlog {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     let part = if known > 0.0 { part } else { lane.pace.max(1.0) };
@@ -728,11 +732,6 @@
             || others().any(|id| self.endpoints[id].health.strikes > 0);
         let spare = (STRIKES_OUT - 1).saturating_sub(lane.health.strikes);
         lane.health.failed(now, sent, if shared { weight } else { weight.min(spare) }, silent, jitter);
-        // Of many senders none alone meets enough in a row to find a receiver down; together they would go on
-        // and push it over as it comes back. From the second failure in a row each keeps to its part.
-        if outcome.verdict != Verdict::Full && lane.health.strikes > weight {
-            lane.paced = lane.paced.max(now + Span::from_millis(1000.0 / part.max(1e-3)) * jitter);
-        }
     }
 
     // Which call goes out next.
@@ -767,10 +766,11 @@
         if rises.len() < 3 { 1.0 } else { rises[(rises.len() - 1) / 2].max(1.0) }
     }
 
-    /// Calls a second that were lately delivered on a lane.
-    fn flow(&self, lane: &Lane) -> f64 {
-        let counted = self.now.since(self.started.unwrap_or(self.now)).as_secs().max(FLOW_LEAST);
-        lane.flow * lane.faded(self.now) / (FLOW_SPAN * (1.0 - (-counted / FLOW_SPAN).exp()))
+    /// Texts a second that this sender is handed for a destination.
+    fn demand(&self, dest: DestId) -> f64 {
+        let counted = self.now.since(self.started.unwrap_or(self.now)).as_secs().max(DEMAND_LEAST);
+        let span = DEMAND_SPAN * (1.0 - (-counted / DEMAND_SPAN).exp());
+        self.holds.get(&dest).map_or(0.0, |hold| hold.asked * hold.faded(self.now) / span)
     }
 
     /// A connection that will most likely not be used again before it runs out is shut at once. Guards
@@ -780,8 +780,7 @@
     fn close_idle(&mut self, id: EndpointId) {
         let at = &self.endpoints[&id];
         let hold = &self.holds[&at.dest];
-        let lane = &self.lanes[&self.lane_of(id)];
-        let pause = hold.endpoints.len() as f64 / self.flow(lane).max(1e-3);
+        let pause = hold.endpoints.len() as f64 / self.demand(at.dest).max(1e-3);
         let idle = at.calls.is_empty() && hold.fresh.is_empty() && hold.ready.is_empty();
         let lost = self.lost.get(&at.kind).is_some_and(|lost| self.now.since(*lost) < LOST_SPAN);
         if lost && idle && pause > self.settings.keeps_alive.as_secs() * KEPT_PART {
@@ -789,15 +788,14 @@
         }
     }
 
-    /// This sender's part of what a lane's receiver takes: an equal one, or what it lately had there if that
-    /// is more. Most of many senders have no text for a receiver; and all that was delivered is no more than
-    /// it takes, while what is handed in may be several times that.
+    /// This sender's part of what a lane's receiver takes: an equal one, or as much as it is handed where
+    /// that is more, as most of many senders have no text for a receiver.
     fn part(&self, id: LaneId) -> f64 {
-        let flow = self.flow(&self.lanes[&id]);
+        let demand = self.demand(id.0);
         let senders = self.settings.senders.max(1) as f64;
         match self.known_rate(id) {
-            0.0 => (flow * PEAK).max(LEAST_RATE / senders),
-            known => flow.min(known).max(known / senders),
+            0.0 => (demand * PEAK).max(LEAST_RATE / senders),
+            known => demand.min(known).max(known / senders),
         }
     }
 
