--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -689,3 +689,47 @@
         assert_eq!(sent, 4, "{senders} senders");
     }
 }
+
+#[test]
+fn rare_failures_find_an_outage_too() {
+    // pause between single strikes, how many mark the lane down
+    for (pause, strikes) in [(20.0, 6), (1_600.0, 4)] {
+        let mut bench = Bench::new(Settings { listed_rate: ListedRate::Exact, ..settings() }, 0);
+        bench.list(Scope::Complete, vec![Entry { units: 500.0, ..entry(2, 1, 0, Condition::Running) }]);
+        let mut bad = 0;
+        // Texts that can't go again ask with a first submit each time.
+        let mut out = submits(&bench.take(1, 2, 1));
+        while let Some((text, endpoint)) = out.pop() {
+            bench.now += pause;
+            bench.answer(text, endpoint, Verdict::Error, None);
+            bad += 1;
+            bench.now += 5.0;
+            out = submits(&bench.take(1, 2, 1));
+        }
+        assert_eq!(bad, strikes, "every {pause} ms");
+    }
+}
+
+#[test]
+fn a_lane_rests_after_a_quick_failure() {
+    // senders, verdict, how long nothing goes to the only endpoint
+    for (senders, verdict, least, most) in [
+        (300, Verdict::ConnectFailed, 1_200.0, 1_900.0),
+        (300, Verdict::Delivered, 0.0, 10.0),
+        (2, Verdict::ConnectFailed, 0.0, 100.0),
+    ] {
+        let mut bench = Bench::new(Settings { senders, listed_rate: ListedRate::Exact, ..settings() }, 0);
+        bench.list(Scope::Complete, vec![Entry { units: 50.0, ..entry(2, 1, 0, Condition::Running) }]);
+        let (text, endpoint) = submits(&bench.take(1, 2, 1))[0];
+        bench.now += 200.0;
+        bench.answer(text, endpoint, verdict, None);
+        let from = bench.now;
+        let mut out = submits(&bench.take(1, 2, 1));
+        while out.is_empty() && bench.now < 5_000.0 {
+            let done: Vec<Action> = bench.pass(5.0).into_iter().map(|(_, a)| a).collect();
+            out = submits(&done);
+        }
+        let rest = bench.now - from;
+        assert!((least..=most).contains(&rest), "{senders} senders, {verdict:?}: {rest}");
+    }
+}
