--- a/src/rules.rs
+++ b/src/rules.rs
@@ -726,8 +726,7 @@
         endpoint.health.failed(now, sent, weight, silent, jitter);
         // One endpoint's failures alone don't mark a lane down that has others.
         let others = || self.holds[&lane_id.0].endpoints.iter().filter(|id| **id != endpoint_id);
-        let shared = outcome.verdict == Verdict::Full
-            || lane_id.1.is_some()
+        let shared = lane_id.1.is_some()
             || others().count() == 0
             || others().any(|id| self.endpoints[id].health.strikes > 0);
         let spare = (STRIKES_OUT - 1).saturating_sub(lane.health.strikes);
