Each full in a row costs a lane a round of turns, two seconds at most

Now a lane sits out as many rounds of turns (senders / known rate, two seconds at most) as it has met fulls in a row before. May leave a limit unused where refusals cost nothing.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,12 +46,13 @@
 /// Lanes that answered so lately, and no more than these, tell how far answer times have risen in common.
 const LATELY: Span = Span::millis(3_000);
 const TELLING: usize = 15;
-/// This part of the room for texts is kept free, so that a sick lane's hold doesn't shut out fresh texts.
+/// This part of the room for texts is kept free.
 const ROOM_KEPT: f64 = 0.1;
 /// A lane's pace falls to this part when its receiver turns a call away as full, rises by this part of a
 /// sender's equal share in a second of calls delivered, and lets calls through early by this span.
 const PACE_CUT: f64 = 0.8;
 const PACE_RISE: f64 = 0.1;
+const LONGEST_ROUND: Span = Span::millis(2_000);
 const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
 const FIRST_PART: f64 = 0.25;
@@ -96,7 +97,6 @@
     valid_until: Moment,
     submits: usize,
     out: Option<u64>,
-    /// When and where the first submit that may have run was sent.
     doubt: Option<(Moment, ZoneId)>,
     place: Place,
 }
@@ -122,7 +122,6 @@
     asked_at: Moment,
     endpoints: Vec<EndpointId>,
     units: f64,
-    /// Its place in the line of those that may send, and when it is next looked at.
     rank: Option<Rank>,
     look_at: Option<Moment>,
 }
@@ -141,7 +140,6 @@
     sent: Moment,
     texts_out: usize,
     judged: bool,
-    /// The time-out was cut to a validity period.
     cut_short: bool,
 }
 
@@ -205,7 +203,7 @@
 
     fn succeeded(&mut self, now: Moment, turn: Span, cold: Span) {
         self.last_ok = now;
-        // One success among failures is not the end of an outage.
+        // One success among failures is no end of an outage.
         self.strikes = if self.state == State::Sound { 0 } else { self.strikes / 2 };
         match self.state {
             State::Down => {
@@ -376,8 +374,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    // The list.
-
     fn listed(&mut self, scope: Scope, entries: Vec<Entry>) {
         if scope == Scope::Error {
             // Asking costs the registry work, and all senders may have been turned away together.
@@ -413,8 +409,6 @@
         }
     }
 
-    // The life of a text.
-
     fn taken(&mut self, id: TextId, product: ProductId, dest: DestId, key: Option<KeyId>, end: Moment) {
         let key = key.filter(|_| self.settings.products[product.0].in_order);
         let place = Place::Behind;
@@ -626,16 +620,21 @@
         }
         let ended = text.place == Place::Ended || outcome.ended || outcome.verdict == Verdict::Delivered;
         let lane_id = self.lane_of(endpoint);
-        if let Some(wait) = outcome.told_wait {
-            // Each text of a call may be told its own wait; the longest holds them all.
+        if outcome.verdict == Verdict::Full {
             let known = self.known_rate(lane_id);
             let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
-            lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
-            // All who were told to wait come back at the same moment, and may use up the limit again: senders
-            // take turns by their own number, a call of the known rate apart.
-            if known > 0.0 {
-                let turn = Span::from_millis(1000.0 * self.settings.ordinal as f64 / known);
-                lane.paced = lane.paced.max(lane.wait_until + turn);
+            if let Some(wait) = outcome.told_wait {
+                lane.wait_until = lane.wait_until.max(self.now + wait + self.settings.tick);
+            }
+            // All who were told to wait come back at once: senders take turns by their own number, a call of
+            // the known rate apart. Where refused calls use up a limit many senders with a text each would
+            // keep it used up for good: each sits out a round for each full in a row.
+            if known > 0.0 && first_word {
+                let call = Span::from_millis(1000.0 / known);
+                let turn = call * outcome.told_wait.map_or(0.0, |_| self.settings.ordinal as f64);
+                let rounds =
+                    (call * self.settings.senders as f64).min(LONGEST_ROUND) * f64::from(lane.health.strikes);
+                lane.paced = lane.paced.max(lane.wait_until.max(self.now) + turn + rounds);
             }
         }
         if first_word {
@@ -790,17 +789,16 @@
         }
     }
 
-    /// This sender's part of what a lane's receiver takes: an equal one, or what it is handed if that is
-    /// more, as most of many senders have no text for a receiver.
+    /// This sender's part of a receiver's rate: an equal one, or what it is handed if that is more, as most
+    /// of many senders have no text for it.
     fn part(&self, id: LaneId) -> f64 {
         let known = self.known_rate(id);
         let handed = if known > 0.0 { self.demand(id.0).min(known) } else { self.demand(id.0) * PEAK };
         handed.max(known.max(LEAST_RATE) / self.settings.senders.max(1) as f64)
     }
 
-    /// Pause between two calls to a cold receiver that keeps this sender inside its part of the budget. What
-    /// is handed in swells with each nack while a receiver is down: where a rate is known the parts are
-    /// equal.
+    /// Pause between two calls to a cold receiver. What is handed in swells with each nack while a receiver
+    /// is down: where a rate is known the budget is divided evenly.
     fn cold_gap(&self, id: LaneId, since: Moment) -> Span {
         let warmth = (self.now.since(since).as_secs() / self.settings.cold_span.as_secs().max(1e-3)).min(1.0);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * warmth;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -733,3 +733,31 @@
         assert!((least..=most).contains(&rest), "{senders} senders, {verdict:?}: {rest}");
     }
 }
+
+#[test]
+fn fulls_in_a_row_cost_a_lane_rounds_of_turns() {
+    // senders, fulls in a row, the least and the most that the lane then sits out; 20 calls a second are listed
+    for (senders, fulls, least, most) in [
+        (3, 1, 200.0, 400.0),
+        (3, 2, 400.0, 800.0),
+        (300, 1, 200.0, 400.0),
+        (300, 2, 1_900.0, 2_200.0),
+        (300, 3, 3_900.0, 6_200.0),
+    ] {
+        let mut bench = Bench::new(Settings { senders, listed_rate: ListedRate::Exact, ..settings() }, 0);
+        bench.list(Scope::Complete, vec![Entry { units: 20.0, ..entry(2, 1, 0, Condition::Running) }]);
+        let (mut rest, mut out) = (0.0, submits(&bench.take(1, 2, 1)));
+        for _ in 0..fulls {
+            bench.now += 20.0;
+            let (text, endpoint) = out.pop().expect("a call is out");
+            let from = bench.now;
+            out = submits(&bench.answer(text, endpoint, Verdict::Full, None));
+            while out.is_empty() {
+                let done: Vec<Action> = bench.pass(5.0).into_iter().map(|(_, a)| a).collect();
+                out = submits(&done);
+            }
+            rest = bench.now - from;
+        }
+        assert!((least..=most).contains(&rest), "{senders} senders, {fulls} fulls: {rest}");
+    }
+}
