--- a/src/rules.rs
+++ b/src/rules.rs
@@ -630,10 +630,10 @@
             // the known rate apart. Where refused calls use up a limit many senders with a text each would
             // keep it used up for good: each sits out a round for each full in a row.
             if known > 0.0 && first_word {
-                let senders = self.settings.senders.max(1) as f64;
-                let round = Span::from_millis(1000.0 * senders / known).min(LONGEST_ROUND);
-                let turn = round * outcome.told_wait.map_or(0.0, |_| self.settings.ordinal as f64 / senders);
-                let rounds = round * f64::from(lane.health.strikes);
+                let call = Span::from_millis(1000.0 / known);
+                let turn = call * outcome.told_wait.map_or(0.0, |_| self.settings.ordinal as f64);
+                let rounds =
+                    (call * self.settings.senders as f64).min(LONGEST_ROUND) * f64::from(lane.health.strikes);
                 lane.paced = lane.paced.max(lane.wait_until.max(self.now) + turn + rounds);
             }
         }
