A listen backlog for bursts, two scenarios more, and a test that tells the crowd's cause

Change: the listen backlog is twice the sockets granted (128 to 4,096) instead of the standard library's 128, whose rest comes again a second later, past a client's 400 ms. Two tests: a burst of 300 while the sender stands still, and what a stop costs with 1 and with 150 clients at rest.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -84,12 +84,19 @@
         0 => "no rule broken".to_owned(),
         _ => run.breach_counts.iter().map(|(rule, n)| format!("{rule} {n}")).collect::<Vec<_>>().join(", "),
     };
-    let strangers = run.strangers.map_or(String::new(), |seen| {
-        format!(
+    let mut strangers = String::new();
+    if let Some(seen) = run.strangers.filter(|seen| seen.opened > 0) {
+        strangers = format!(
             "  strangers: {} came, {} not connected, {} answered, {} ended, silent {:.0} ms at most",
             seen.opened, seen.unconnected, seen.answered, seen.ended, seen.longest_silent_ms
-        )
-    });
+        );
+    }
+    if let Some(burst) = run.strangers.map(|seen| seen.burst).filter(|burst| burst.opened > 0) {
+        strangers.push_str(&format!(
+            "  bursts: {} came, {} connected, {} answered, {} ended, slowest {:.0} ms",
+            burst.opened, burst.connected, burst.answered, burst.ended, burst.slowest_ms
+        ));
+    }
     let late = if run.is_valid() { "" } else { "  RIG LATE" };
     format!(
         "{:<14} {:<8} {:<14} seed {:<4} service {:.4} worst {:.3}  {:.2} calls a delivery  p99 {:.0} ms  \
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -96,6 +96,19 @@
     pub answered: u64,
     pub ended: u64,
     pub longest_silent_ms: f64,
+    #[serde(default)]
+    pub burst: BurstSeen,
+}
+
+/// Connections that came to a sender at one moment: how many, how many were connected, answered, and ended without an
+/// answer, and how long the slowest answer took from the moment on. One that is neither was still waiting at the end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BurstSeen {
+    pub opened: u64,
+    pub connected: u64,
+    pub answered: u64,
+    pub ended: u64,
+    pub slowest_ms: f64,
 }
 
 /// One value for each second of the run.
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -381,11 +381,16 @@
     /// Spells in which each sender is stopped.
     pub stops: Vec<Spanned<Stop>>,
     pub strangers: Option<Strangers>,
+    /// Connections that come to each sender at one moment, ask whether it is up and wait for the answer.
+    pub bursts: Vec<Spanned<Burst>>,
 }
 
 impl Burden {
     pub fn is_none(&self) -> bool {
-        self.core_share.is_none() && self.stops.is_empty() && self.strangers.is_none()
+        self.core_share.is_none()
+            && self.stops.is_empty()
+            && self.strangers.is_none()
+            && self.bursts.is_empty()
     }
 }
 
@@ -413,6 +418,16 @@
     /// From so many addresses.
     #[serde(default = "one_address")]
     pub addresses: usize,
+    /// From the address that the clients have, as behind one office's front; `addresses` says nothing then.
+    #[serde(default)]
+    pub beside_clients: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    pub at_s: f64,
+    pub connections: usize,
 }
 
 fn one_address() -> usize {
@@ -522,6 +537,13 @@
             let (place, stop) = (place("burden.stops", at, stop.span().start), stop.get_ref());
             more(&format!("{place}.for_s"), stop.for_s, 0.0)?;
         }
+        for (at, burst) in self.burden.bursts.iter().enumerate() {
+            let (place, burst) = (place("burden.bursts", at, burst.span().start), burst.get_ref());
+            more(&format!("{place}.at_s"), burst.at_s, 0.0)?;
+            if !(1..=2_000).contains(&burst.connections) {
+                return Err(format!("{place}.connections: {} is not 1 to 2000", burst.connections));
+            }
+        }
         if let Some(strangers) = &self.burden.strangers {
             more("burden.strangers.for_s", strangers.for_s, 0.0)?;
             let rate = strangers.bad_a_second;
--- a/crates/lab/src/sockets/burden.rs
+++ b/crates/lab/src/sockets/burden.rs
@@ -5,12 +5,14 @@
 
 use super::clients::AddressBook;
 use super::keeper::Handle;
-use crate::outcome::StrangersSeen;
-use crate::scenario::{Burden, Scenario, Strangers};
-use rustix::net::{self, AddressFamily, RecvFlags, SocketType};
+use crate::outcome::{BurstSeen, StrangersSeen};
+use crate::scenario::{Burden, Burst, Scenario, Strangers};
+use rustix::io::Errno;
+use rustix::net::{self, AddressFamily, RecvFlags, SendFlags, SocketFlags, SocketType};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
+use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::thread::{self, JoinHandle};
@@ -25,6 +27,7 @@
 /// How long strangers wait to be connected, and stay after a request that can't be read.
 const CONNECT: Duration = Duration::from_millis(200);
 const BAD_STAY: Duration = Duration::from_millis(500);
+const ASK: &[u8] = b"GET /up HTTP/1.1\r\n\r\n";
 
 /// All that weighs on the senders while a run lasts.
 pub struct Weights {
@@ -44,6 +47,11 @@
                 let (burden, over) = (burden.clone(), Arc::clone(&over));
                 weights.holders.push(thread::spawn(move || hold(&handle, &burden, epoch, &over)));
             }
+            if !burden.bursts.is_empty() {
+                let bursts = burden.bursts.iter().map(|burst| burst.get_ref().clone()).collect();
+                let (over, address) = (Arc::clone(&over), Arc::clone(&address));
+                weights.crowds.push(thread::spawn(move || play_bursts(bursts, &address, epoch, &over)));
+            }
             if let Some(strangers) = burden.strangers.clone() {
                 let over = Arc::clone(&over);
                 let crowd = move || Crowd::new(strangers, number, address).play(epoch, &over);
@@ -64,6 +72,13 @@
             answered: a.answered + b.answered,
             ended: a.ended + b.ended,
             longest_silent_ms: a.longest_silent_ms.max(b.longest_silent_ms),
+            burst: BurstSeen {
+                opened: a.burst.opened + b.burst.opened,
+                connected: a.burst.connected + b.burst.connected,
+                answered: a.burst.answered + b.burst.answered,
+                ended: a.burst.ended + b.burst.ended,
+                slowest_ms: a.burst.slowest_ms.max(b.burst.slowest_ms),
+            },
         })
     }
 }
@@ -205,7 +220,7 @@
         if let Some(stranger) = &self.silent[at] {
             match net::recv(&stranger.stream, &mut bytes, RecvFlags::DONTWAIT) {
                 Ok((_, count)) if count > 0 => self.seen.answered += 1,
-                Err(rustix::io::Errno::AGAIN) => {}
+                Err(Errno::AGAIN) => {}
                 _ => {
                     self.seen.ended += 1;
                     if !stranger.asks {
@@ -220,7 +235,7 @@
             let asks = at >= self.strangers.silent;
             let Some(mut stranger) = self.connect(false) else { return };
             stranger.asks = asks;
-            if !asks || stranger.stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").is_ok() {
+            if !asks || stranger.stream.write_all(ASK).is_ok() {
                 self.silent[at] = Some(stranger);
             }
         }
@@ -230,9 +245,14 @@
         let to = (*self.address.lock().unwrap_or_else(PoisonError::into_inner))?;
         self.turn += 1;
         let place = self.turn % self.strangers.addresses.max(1);
-        // Addresses of their own, none of which a client of this rig has.
-        let from =
-            Ipv4Addr::new(127, 100 + (self.sender % 100) as u8, (place / 250) as u8, (place % 250 + 1) as u8);
+        // Addresses of their own, none of which a client of this rig has, unless they are to have its.
+        let from = match (self.strangers.beside_clients, to.ip()) {
+            (true, IpAddr::V4(clients)) => clients,
+            _ => {
+                let (third, fourth) = ((place / 250) as u8, (place % 250 + 1) as u8);
+                Ipv4Addr::new(127, 100 + (self.sender % 100) as u8, third, fourth)
+            }
+        };
         self.seen.opened += 1;
         let Some(mut stream) = connect(from, to) else {
             self.seen.unconnected += 1;
@@ -254,6 +274,80 @@
     Some(TcpStream::from(socket))
 }
 
+/// One of a burst, in the order of what becomes of it.
+enum Comer {
+    Connecting(OwnedFd),
+    Asked(OwnedFd),
+    Over,
+}
+
+impl Comer {
+    /// Comes without waiting to be connected: all of a burst are to lie in one backlog.
+    fn open(to: SocketAddr) -> Option<Comer> {
+        let socket =
+            net::socket_with(AddressFamily::INET, SocketType::STREAM, SocketFlags::NONBLOCK, None).ok()?;
+        match net::connect(&socket, &to) {
+            Ok(()) | Err(Errno::INPROGRESS) => Some(Comer::Connecting(socket)),
+            Err(_) => None,
+        }
+    }
+
+    /// What it sees now, `at` milliseconds after the burst.
+    fn look(&mut self, at: f64, seen: &mut BurstSeen) {
+        if let Comer::Connecting(socket) = self {
+            match net::send(&*socket, ASK, SendFlags::NOSIGNAL) {
+                Ok(_) => {
+                    seen.connected += 1;
+                    let Comer::Connecting(socket) = std::mem::replace(self, Comer::Over) else { return };
+                    *self = Comer::Asked(socket);
+                }
+                Err(Errno::AGAIN | Errno::NOTCONN | Errno::INPROGRESS | Errno::ALREADY) => {}
+                Err(_) => {
+                    seen.ended += 1;
+                    *self = Comer::Over;
+                }
+            }
+        }
+        if let Comer::Asked(socket) = self {
+            match net::recv(&*socket, &mut [0u8; 512], RecvFlags::DONTWAIT) {
+                Err(Errno::AGAIN) => return,
+                Ok((_, count)) if count > 0 => {
+                    seen.answered += 1;
+                    seen.slowest_ms = seen.slowest_ms.max(at);
+                }
+                _ => seen.ended += 1,
+            }
+            *self = Comer::Over;
+        }
+    }
+}
+
+fn play_bursts(
+    bursts: Vec<Burst>,
+    address: &AddressBook,
+    epoch: Instant,
+    over: &AtomicBool,
+) -> StrangersSeen {
+    let mut seen = BurstSeen::default();
+    let mut comers: Vec<(Instant, Comer)> = Vec::new();
+    let mut done = vec![false; bursts.len()];
+    while !over.load(Ordering::Relaxed) {
+        thread::sleep(BEAT);
+        let at = epoch.elapsed().as_secs_f64();
+        for (burst, done) in bursts.iter().zip(&mut done).filter(|(burst, done)| !**done && at >= burst.at_s)
+        {
+            *done = true;
+            let Some(to) = *address.lock().unwrap_or_else(PoisonError::into_inner) else { continue };
+            let since = Instant::now();
+            comers.extend((0..burst.connections).filter_map(|_| Some((since, Comer::open(to)?))));
+            seen.opened += burst.connections as u64;
+        }
+        comers.iter_mut().for_each(|(since, comer)| comer.look(millis(since.elapsed()), &mut seen));
+        comers.retain(|(_, comer)| !matches!(comer, Comer::Over));
+    }
+    StrangersSeen { burst: seen, ..StrangersSeen::default() }
+}
+
 fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1000.0
 }
--- a/crates/lab/tests/scenario.rs
+++ b/crates/lab/tests/scenario.rs
@@ -68,6 +68,8 @@
         let complaint = Scenario::parse(&format!("{GOOD}\n[[troubles]]\n{trouble}\n")).expect_err(trouble);
         assert!(complaint.contains(expected), "{trouble}: {complaint}");
     }
+    let burst = format!("{GOOD}\n[burden]\nbursts = [{{ at_s = 1, connections = 500 }}]\n");
+    assert!(!Scenario::parse(&burst).expect("good").burden.is_none());
     assert!(Scenario::parse(GOOD).is_ok());
 }
 
@@ -77,6 +79,8 @@
         ("core_share = 0.0", "burden.core_share"),
         ("stops = [{ at_s = 1, for_s = 0 }]", "burden.stops[0].for_s"),
         ("strangers = { at_s = 0, for_s = 0 }", "burden.strangers.for_s"),
+        ("bursts = [{ at_s = 1, connections = 0 }]", "burden.bursts[0]"),
+        ("bursts = [{ at_s = 1, connections = 2001 }]", "burden.bursts[0]"),
         ("strangers = { at_s = 0, for_s = 1, bad_a_second = -1 }", "burden.strangers.bad_a_second"),
         ("strangers = { at_s = 0, for_s = 1, addresses = 0 }", "burden.strangers.addresses"),
         ("core = 0.5", "core"),
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -93,6 +93,8 @@
         let wal =
             wal::Wal::open(&state, &limits).map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
         let listener = TcpListener::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+        // The standard library asks for 128; asked again, the kernel takes the new length over.
+        rustix::net::listen(&listener, limits.backlog).map_err(|e| format!("listen: {listen}: {e}"))?;
         let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
         let (limits, site) = (Arc::new(limits), Arc::new(site));
         let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -84,6 +84,9 @@
     pub id_rest: Duration,
     /// Connections of clients, those that wait or were only told to come again, and those to endpoints.
     pub clients: usize,
+    /// Connections that may lie unaccepted: a burst must find its place here, as those beyond it come again a second
+    /// later, and that is longer than a client waits for its answer.
+    pub backlog: i32,
     /// At the door, one in the hand of each of the two threads there included.
     pub door: usize,
     pub links: usize,
@@ -194,6 +197,7 @@
             id_rest: Duration::from_secs(10),
             key_rest: Duration::from_secs(10),
             clients,
+            backlog: (2 * grant.sockets).clamp(128, 4096) as i32,
             door,
             links,
             reports_a_call: 64,
--- a/crates/sender/tests/sender/admission.rs
+++ b/crates/sender/tests/sender/admission.rs
@@ -3,7 +3,8 @@
 use crate::common::*;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -77,6 +78,49 @@
     assert_eq!(daemon.counter("taken"), 2, "before and long");
 }
 
+/// Guards against what lost texts on the bench: a sender over its share of a core is stopped and resumed, and with a
+/// thread for each client at rest the resuming alone took more than the share, so that it never came back within it.
+#[test]
+fn being_stopped_costs_no_more_with_a_crowd_at_rest() {
+    let (endpoint, _discovery, config, folder) = world();
+    let daemon = Daemon::start(&config, &folder);
+    let mut till = daemon.client();
+    assert_eq!(till.ask(&text("free", "before", 0, "k", b"x")).0, 202);
+    let before = endpoint.next();
+    let alone = daemon.cost_of_stops(40);
+    let crowd: Vec<Client> = (0..150).map(|_| daemon.client()).collect();
+    assert!(daemon.counter("descriptors_client") >= 150);
+    assert_eq!(till.ask(&text("free", "during", 0, "k", b"x")).0, 202);
+    let during = endpoint.next();
+    let beside = daemon.cost_of_stops(40);
+    assert!(beside < 3 * alone + Duration::from_micros(200), "{alone:?} alone, {beside:?} in a crowd");
+    before.status(200);
+    during.status(200);
+    daemon.counts("delivered", 2);
+    drop(crowd);
+}
+
+/// Guards against a burst beyond the standard library's 128, whose rest came again a second later.
+#[test]
+fn a_burst_while_the_sender_stands_still_lies_in_the_backlog_and_is_answered() {
+    let (_endpoint, _discovery, config, folder) = world();
+    let daemon = Daemon::start(&config, &folder);
+    daemon.signal("-STOP");
+    let connect = |n| {
+        let connected = TcpStream::connect_timeout(&daemon.address, Duration::from_millis(500));
+        connected.unwrap_or_else(|e| panic!("connection {n}: {e}"))
+    };
+    let mut burst: Vec<TcpStream> = (0..300).map(connect).collect();
+    daemon.signal("-CONT");
+    for (n, stream) in burst.iter_mut().enumerate() {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+        stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").expect("open");
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).unwrap_or_else(|e| panic!("connection {n}: {e}"));
+        assert_eq!(&head, b"HTTP/1.1 200", "connection {n}");
+    }
+}
+
 /// Stopped for as long as some of what it holds has left: what is overdue ends in the order of its time, the rest is
 /// delivered, and nothing is forgotten.
 #[test]
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -4,6 +4,7 @@
 use indigomast_sender::http::{Request, take_request};
 use indigomast_sender::limits::{Grant, Limits};
 use indigomast_sender::ring::Ring;
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -240,6 +241,27 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Stops and resumes it so many times, and what that took of processor time each.
+    pub fn cost_of_stops(&self, stops: u32) -> Duration {
+        let pid = Pid::from_child(&self.child);
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let used = || {
+            let threads = fs::read_dir(&tasks).into_iter().flatten().flatten();
+            let times = threads.filter_map(|thread| fs::read_to_string(thread.path().join("schedstat")).ok());
+            // The first number is the time on a processor, in nanoseconds.
+            times.filter_map(|time| time.split(' ').next()?.parse::<u64>().ok()).sum::<u64>()
+        };
+        let before = used();
+        for _ in 0..stops {
+            for signal in [Signal::STOP, Signal::CONT] {
+                kill_process(pid, signal).expect("it is there");
+                // So that each signal finds the one before carried out; a lost one only makes the count smaller.
+                thread::sleep(Duration::from_millis(4));
+            }
+        }
+        Duration::from_nanos((used() - before) / u64::from(stops))
+    }
+
     pub fn kill(&mut self) {
         _ = self.child.kill();
         _ = self.child.wait();
