--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -10,6 +10,8 @@
 
 const MANIFEST: &str = "manifest";
 const NEXT_MANIFEST: &str = "manifest.next";
+/// A segment written under other settings may be longer than today's; a file beyond this is read so far only.
+const LONGEST_SEGMENT: u64 = 256 << 20;
 
 /// An item's number; one is never used twice in a journal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -39,16 +41,28 @@
 }
 
 impl Settings {
+    /// For files of so many bytes together and payloads of so many, outlasting the process.
+    pub fn within(most: u64, longest: usize) -> Settings {
+        let least = least_segment(longest);
+        let segment = (most / 64).clamp(least, least.max(8 << 20));
+        Settings { segment, most, longest, step: 16 << 10, durability: Durability::Process }
+    }
+
+    /// The least that all files together may have to be.
+    pub fn least(&self) -> u64 {
+        8 * self.segment
+    }
+
     fn check(&self) -> io::Result<()> {
         let complain = |what: String| Err(io::Error::new(ErrorKind::InvalidInput, what));
-        let least = (SEGMENT_HEAD + 2 * (RECORD_HEAD + self.longest)) as u64;
+        let least = least_segment(self.longest);
         if self.segment < least {
             return complain(format!(
                 "segment: {} bytes are less than two records take, {least}",
                 self.segment
             ));
         }
-        if self.most < 8 * self.segment {
+        if self.most < self.least() {
             return complain(format!("most: {} bytes are less than eight segments", self.most));
         }
         Ok(())
@@ -56,8 +70,8 @@
 
     /// What open items may take with all that is reserved for them. A quarter of the rest stays for what is over, so
     /// that moving open items on frees a byte for at most three moved.
-    fn room(&self) -> u64 {
-        (self.most - 4 * self.segment) / 4 * 3
+    pub fn room(&self) -> u64 {
+        self.most.saturating_sub(4 * self.segment) / 4 * 3
     }
 }
 
@@ -96,6 +110,27 @@
     pub orphans: u64,
     /// Open items that may have lost a note, or their end, to the damage.
     pub suspects: Vec<Key>,
+    /// There was no manifest that could be read: which segments count was taken from the segments.
+    pub manifest_lost: bool,
+}
+
+impl Recovered {
+    /// How many records of so many bytes of payload, or more, may have been lost at the most: the damaged bytes held
+    /// them. None where a whole segment is missing.
+    pub fn most_lost(&self, payload: usize) -> Option<u64> {
+        let bytes = self.damage.iter().map(|damage| (damage.bytes > 0).then_some(damage.bytes));
+        bytes.sum::<Option<u64>>().map(|bytes| bytes / (RECORD_HEAD + payload) as u64)
+    }
+}
+
+/// What has to be changed in a folder before it is gone on with.
+#[derive(Default)]
+struct Mending {
+    /// Behind so many bytes of the newest segment.
+    cut: Option<u64>,
+    void: Vec<u64>,
+    old: Vec<u64>,
+    needs_manifest: bool,
 }
 
 /// What a commit did beside writing what was added.
@@ -152,6 +187,8 @@
     waiting: Vec<Record>,
     /// Written but not synced, in case the sync fails: what a failed sync leaves on the disk nobody knows.
     unsynced: Vec<Record>,
+    /// How much of the newest segment counts. After a failed sync that is less than was written.
+    sound: u64,
     synced_at: Duration,
     /// The newest segment can't be trusted to end where it should: the next record goes to another.
     spoilt: bool,
@@ -159,6 +196,11 @@
     manifest_behind: bool,
 }
 
+/// Two records of any length.
+fn least_segment(longest: usize) -> u64 {
+    (SEGMENT_HEAD + 2 * (RECORD_HEAD + longest)) as u64
+}
+
 fn segment_name(number: u64) -> String {
     format!("{number:016x}.seg")
 }
@@ -168,8 +210,13 @@
     (digits.len() == 16).then(|| u64::from_str_radix(digits, 16).ok())?
 }
 
-fn read_all<S: Store>(store: &mut S, file: &mut S::File) -> io::Result<Vec<u8>> {
-    let length = store.length(file)? as usize;
+fn newer(name: &str, version: u32) -> io::Error {
+    let what = format!("{name}: format {version} is newer than {}, the newest known here", format::VERSION);
+    io::Error::new(ErrorKind::Unsupported, what)
+}
+
+fn read_at_most<S: Store>(store: &mut S, file: &mut S::File, most: usize) -> io::Result<Vec<u8>> {
+    let length = store.length(file)?.min(most as u64) as usize;
     let mut bytes = vec![0; length];
     let mut at = 0;
     while at < length {
@@ -190,28 +237,86 @@
     /// Reads what is there, oldest first, and goes on from it. `number` tells this journal from all others if it is a
     /// new one. A folder of a newer format is left as it is.
     pub fn open(
-        mut store: S,
+        store: S,
         settings: Settings,
         number: u64,
         seen: &mut dyn FnMut(Key, Entry),
     ) -> io::Result<(Journal<S>, Recovered)> {
         settings.check()?;
+        let (mut journal, recovered, mending) = Journal::scan(store, settings, number, seen)?;
+        if let Some(length) = mending.cut {
+            let file = journal.file.as_mut().expect("the newest was read last");
+            journal.store.truncate(file, length)?;
+        }
+        for segment in mending.void {
+            journal.store.remove(&segment_name(segment))?;
+        }
+        if let Some(file) =
+            journal.file.as_ref().filter(|_| journal.settings.durability != Durability::Process)
+        {
+            // What was read may be in memory only, left by a process that was killed.
+            journal.store.sync(file)?;
+            journal.store.sync_names()?;
+        }
+        if mending.needs_manifest {
+            journal.write_manifest(journal.first)?;
+        }
+        // Left over from a crash between the manifest and the removal.
+        for old in mending.old {
+            journal.store.remove(&segment_name(old))?;
+        }
+        Ok((journal, recovered))
+    }
+
+    /// Reads what is there and changes nothing. Payloads may be up to `longest` bytes.
+    pub fn look(
+        store: S,
+        longest: usize,
+        seen: &mut dyn FnMut(Key, Entry),
+    ) -> io::Result<(Journal<S>, Recovered)> {
+        let settings = Settings { segment: 0, most: 0, longest, step: 0, durability: Durability::Process };
+        let (journal, recovered, _) = Journal::scan(store, settings, 0, seen)?;
+        Ok((journal, recovered))
+    }
+
+    fn scan(
+        mut store: S,
+        settings: Settings,
+        number: u64,
+        seen: &mut dyn FnMut(Key, Entry),
+    ) -> io::Result<(Journal<S>, Recovered, Mending)> {
         let names = store.list()?;
         let manifest = match names.iter().any(|name| name == MANIFEST) {
             false => None,
             true => {
                 let mut file = store.open(MANIFEST)?;
-                let bytes = read_all(&mut store, &mut file)?;
-                Manifest::read(&bytes).map_err(|version| {
-                    let what =
-                        format!("format {version} is newer than {}, the newest known here", format::VERSION);
-                    io::Error::new(ErrorKind::Unsupported, what)
-                })?
+                let bytes = read_at_most(&mut store, &mut file, SEGMENT_HEAD)?;
+                Manifest::read(&bytes).map_err(|version| newer(MANIFEST, version))?
             }
         };
         let found: BTreeSet<u64> = names.iter().filter_map(|name| segment_number(name)).collect();
-        let lowest = found.first().copied().unwrap_or(1);
-        let (number, first) = manifest.map_or((number, lowest), |m| (m.journal, m.first));
+        let first = manifest.map_or(found.first().copied().unwrap_or(1), |manifest| manifest.first);
+        // Each head tells how long the segment before was.
+        let mut ends = BTreeMap::new();
+        let (mut said, mut newest) = (None, 0);
+        for &at in found.range(first..) {
+            let mut file = store.open(&segment_name(at))?;
+            let bytes = read_at_most(&mut store, &mut file, SEGMENT_HEAD)?;
+            match read_segment_head(&bytes) {
+                Said::Segment { journal, segment, before, next } if segment == at => {
+                    said = said.or(Some(journal));
+                    if manifest.is_none_or(|manifest| manifest.journal == journal) {
+                        newest = newest.max(next);
+                        ends.extend((at > first).then(|| (at - 1, before)));
+                    }
+                }
+                // Under a manifest of this format it is damage.
+                Said::Newer(version) if manifest.is_none() => return Err(newer(&segment_name(at), version)),
+                _ => {}
+            }
+        }
+        // Without a manifest the segments themselves say whose they are.
+        let number = manifest.map(|manifest| manifest.journal).or(said).unwrap_or(number);
         let mut journal = Journal {
             store,
             settings,
@@ -221,15 +326,19 @@
             file: None,
             items: BTreeMap::new(),
             based: BTreeMap::new(),
-            next: 0,
+            next: newest,
             held: 0,
             waiting: Vec::new(),
             unsynced: Vec::new(),
+            sound: 0,
             synced_at: Duration::ZERO,
             spoilt: false,
             manifest_behind: false,
         };
-        let mut recovered = Recovered::default();
+        let mut recovered =
+            Recovered { manifest_lost: manifest.is_none() && !found.is_empty(), ..Recovered::default() };
+        let mut mending = Mending { needs_manifest: manifest.is_none(), ..Mending::default() };
+        mending.old.extend(found.range(..first));
         // Where damage lies, by segment: whoever began before may have lost something to it.
         let mut hurt: Vec<u64> = Vec::new();
         let mut expected = first;
@@ -240,7 +349,8 @@
             }
             expected = at + 1;
             let last = Some(&at) == found.last();
-            journal.recover(at, last, manifest.is_some(), &mut recovered, &mut hurt, seen)?;
+            let end = ends.get(&at).copied();
+            journal.recover(at, end, last, &mut recovered, &mut hurt, &mut mending, seen)?;
         }
         for hurt in hurt {
             let before = journal.based.range(..=hurt).flat_map(|(_, keys)| keys.iter().copied());
@@ -249,40 +359,34 @@
         recovered.suspects.sort();
         recovered.suspects.dedup();
         recovered.segments = journal.segments.len();
-        if manifest.is_none() {
-            journal.write_manifest(first)?;
-        }
-        // Left over from a crash between the manifest and the removal.
-        for old in found.range(..first) {
-            journal.store.remove(&segment_name(*old))?;
-        }
-        Ok((journal, recovered))
+        journal.sound = journal.segments.back().map_or(0, |segment| segment.bytes);
+        Ok((journal, recovered, mending))
     }
 
+    /// `end` is how long the segment is said to be by the one behind it.
+    #[allow(clippy::too_many_arguments)]
     fn recover(
         &mut self,
         segment: u64,
+        end: Option<u64>,
         is_last: bool,
-        is_known: bool,
         recovered: &mut Recovered,
         hurt: &mut Vec<u64>,
+        mending: &mut Mending,
         seen: &mut dyn FnMut(Key, Entry),
     ) -> io::Result<()> {
         let mut file = self.store.open(&segment_name(segment))?;
-        let bytes = read_all(&mut self.store, &mut file)?;
+        // A file of any length may lie there; no segment is longer than it may be.
+        let most = end.unwrap_or(self.settings.segment.max(LONGEST_SEGMENT));
+        let bytes = read_at_most(&mut self.store, &mut file, most.min(usize::MAX as u64) as usize)?;
         let mut at = match read_segment_head(&bytes) {
-            Said::Segment { journal, segment: said } if journal == self.number && said == segment => {
+            Said::Segment { journal, segment: said, .. } if journal == self.number && said == segment => {
                 SEGMENT_HEAD
             }
-            // Under a manifest of this format it is damage.
-            Said::Newer(version) if !is_known => {
-                let what = format!("{}: format {version} is newer than is known here", segment_name(segment));
-                return Err(io::Error::new(ErrorKind::Unsupported, what));
-            }
             // Without its head each record still tells whether it belongs here.
             _ => 0,
         };
-        let mut end = at;
+        let mut sound = at;
         let mut bad = (at == 0).then_some(0);
         while at < bytes.len() {
             match self.record_at(&bytes, segment, at) {
@@ -293,7 +397,7 @@
                         hurt.push(segment);
                     }
                     at += RECORD_HEAD + payload.len();
-                    end = at;
+                    sound = at;
                     recovered.records += 1;
                     self.read_again(segment, head, payload, recovered, seen);
                 }
@@ -303,21 +407,27 @@
                 }
             }
         }
+        // What was cut off a segment that others follow is missing like any other.
+        let length = end.unwrap_or(0).max(bytes.len() as u64);
+        if bad.is_none() && length > bytes.len() as u64 {
+            bad = Some(bytes.len());
+        }
         if let Some(from) = bad {
-            let damage = Damage { segment, offset: from as u64, bytes: (bytes.len() - from) as u64 };
+            let damage = Damage { segment, offset: from as u64, bytes: length - from as u64 };
             if is_last {
                 recovered.torn = (damage.bytes > 0).then_some(damage);
-                if end < SEGMENT_HEAD {
+                if sound < SEGMENT_HEAD {
                     // Not even begun: its number is used again.
-                    return self.store.remove(&segment_name(segment));
+                    mending.void.push(segment);
+                    return Ok(());
                 }
-                self.store.truncate(&mut file, end as u64)?;
+                mending.cut = Some(sound as u64);
             } else {
                 recovered.damage.push(damage);
                 hurt.push(segment);
             }
         }
-        self.segments.push_back(Segment { number: segment, bytes: end as u64 });
+        self.segments.push_back(Segment { number: segment, bytes: sound as u64 });
         self.file = Some(file);
         Ok(())
     }
@@ -412,6 +522,11 @@
         self.held
     }
 
+    /// Records that wait for the next commit.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub fn into_store(self) -> S {
         self.store
     }
@@ -439,7 +554,8 @@
         }
     }
 
-    /// Adds to an item, within what was reserved for it.
+    /// Adds to an item, within what was reserved for it. After a failed commit a note may be read twice, so saying it
+    /// twice must say no more than saying it once.
     pub fn note(&mut self, key: Key, tag: u8, payload: &[u8]) {
         if self.items.contains_key(&key) {
             self.add(Kind::Note, tag, key, payload);
@@ -453,6 +569,17 @@
         }
     }
 
+    /// Takes back an item that was begun, as its commit failed. Unlike a close it leaves nothing to be written again, if
+    /// nothing of it may have been written: a full disk is not to fill the memory.
+    pub fn abandon(&mut self, key: Key) {
+        let Some(item) = self.items.get(&key).copied() else { return };
+        self.remove(key);
+        self.waiting.retain(|record| record.key != key);
+        if item.base.is_some() {
+            self.add(Kind::Close, 0, key, &[]);
+        }
+    }
+
     fn add(&mut self, kind: Kind, tag: u8, key: Key, payload: &[u8]) {
         self.waiting.push(Record { kind, tag, key, payload: payload.to_vec() });
     }
@@ -489,13 +616,7 @@
         while used > self.settings.most / 2 && most > 0 && self.segments.len() > 1 {
             let Some(oldest) = self.segments.front().map(|segment| segment.number) else { break };
             let Some(key) = self.based.get(&oldest).and_then(|keys| keys.first().copied()) else { break };
-            let mut payload = Vec::new();
-            image(key, &mut payload);
-            if payload.len() > self.settings.longest {
-                // Written, it would not be read again.
-                return Err(too_long(key));
-            }
-            let record = Record { kind: Kind::Whole, tag: 0, key, payload };
+            let record = self.whole(key, image)?;
             let bytes = record.bytes();
             most = most.saturating_sub(bytes);
             used += bytes;
@@ -508,6 +629,42 @@
         Ok(())
     }
 
+    /// Writes every open item anew, as `image` tells it, and gives back all segments that were there before; a segment's
+    /// items at a time. For a journal that nobody waits for.
+    pub fn compact(&mut self, now: Duration, image: &mut dyn FnMut(Key, &mut Vec<u8>)) -> io::Result<Step> {
+        let mut step = self.commit(now, image)?;
+        let Some(newest) = self.segments.back().map(|segment| segment.number) else { return Ok(step) };
+        self.roll()?;
+        while let Some((&oldest, keys)) = self.based.first_key_value().filter(|(base, _)| **base <= newest) {
+            let keys: Vec<Key> = keys.iter().copied().collect();
+            for key in keys {
+                let record = self.whole(key, image)?;
+                step.moved += 1;
+                step.moved_bytes += record.bytes();
+                self.base_on(key, None);
+                self.waiting.push(record);
+            }
+            debug_assert!(!self.based.contains_key(&oldest));
+            self.write(&mut step)?;
+            if self.settings.durability != Durability::Process {
+                self.sync_now(now, &mut step)?;
+            }
+            self.retire(now, &mut step)?;
+        }
+        self.retire(now, &mut step)?;
+        Ok(step)
+    }
+
+    fn whole(&self, key: Key, image: &mut dyn FnMut(Key, &mut Vec<u8>)) -> io::Result<Record> {
+        let mut payload = Vec::new();
+        image(key, &mut payload);
+        // A longer one, once written, would not be read again.
+        if payload.len() > self.settings.longest {
+            return Err(too_long(key));
+        }
+        Ok(Record { kind: Kind::Whole, tag: 0, key, payload })
+    }
+
     fn write(&mut self, step: &mut Step) -> io::Result<()> {
         let mut buffer = Vec::new();
         let mut done = 0;
@@ -516,6 +673,13 @@
             let newest = self.segments.back().map_or(u64::MAX, |segment| segment.bytes);
             let fits = newest.saturating_add(record.bytes()) <= self.settings.segment;
             if self.file.is_none() || self.spoilt || !fits {
+                // What lies in the segments before stays there.
+                let lies = self.waiting.drain(..done);
+                match self.settings.durability {
+                    Durability::Process => drop(lies),
+                    _ => self.unsynced.extend(lies),
+                }
+                done = 0;
                 self.roll()?;
                 continue;
             }
@@ -537,10 +701,17 @@
             if let Err(e) = self.store.append_all(file, &buffer) {
                 // What came of it is cut off again, or the next record goes elsewhere.
                 self.spoilt = self.store.truncate(file, start).is_err();
-                self.waiting.drain(..done);
+                if self.spoilt {
+                    // This segment ends at its last sync: what came since goes again as well.
+                    let again = std::mem::take(&mut self.unsynced);
+                    self.waiting.splice(0..0, again);
+                }
                 return Err(e);
             }
             self.segments.back_mut().expect("rolled").bytes += buffer.len() as u64;
+            if self.settings.durability == Durability::Process {
+                self.sound += buffer.len() as u64;
+            }
             step.written += buffer.len() as u64;
             let begins = |record: &&Record| matches!(record.kind, Kind::Open | Kind::Whole);
             let keys = self.waiting[done..done + count].iter().filter(begins).map(|record| record.key);
@@ -561,18 +732,20 @@
     /// without it.
     fn roll(&mut self) -> io::Result<()> {
         let syncs = self.settings.durability != Durability::Process;
-        if let Some(file) = self.file.as_ref().filter(|_| syncs && !self.spoilt) {
-            self.store.sync(file)?;
+        if syncs && !self.spoilt && self.file.is_some() {
+            self.sync_file()?;
         }
+        let before = self.sound;
         let number = self.segments.back().map_or(self.first, |segment| segment.number + 1);
         let mut file = self.store.create(&segment_name(number))?;
-        self.store.append_all(&mut file, &format::segment_head(self.number, number))?;
+        self.store.append_all(&mut file, &format::segment_head(self.number, number, before, self.next))?;
         if syncs {
             self.store.sync(&file)?;
             self.store.sync_names()?;
         }
         self.segments.push_back(Segment { number, bytes: SEGMENT_HEAD as u64 });
         self.file = Some(file);
+        self.sound = SEGMENT_HEAD as u64;
         self.spoilt = false;
         Ok(())
     }
@@ -589,17 +762,24 @@
     }
 
     fn sync_now(&mut self, now: Duration, step: &mut Step) -> io::Result<()> {
+        self.sync_file()?;
+        self.synced_at = now;
+        step.synced = true;
+        Ok(())
+    }
+
+    fn sync_file(&mut self) -> io::Result<()> {
         let Some(file) = &self.file else { return Ok(()) };
         if let Err(e) = self.store.sync(file) {
-            // All since the last sync goes again, to a segment of its own. What is read twice does no harm.
+            // What a failed sync leaves nobody knows, and the next one may pass without having written it. All since
+            // the last good one goes again, to a segment of its own, and counts nothing where it lies.
             self.spoilt = true;
             let again = std::mem::take(&mut self.unsynced);
             self.waiting.splice(0..0, again);
             return Err(e);
         }
         self.unsynced.clear();
-        self.synced_at = now;
-        step.synced = true;
+        self.sound = self.segments.back().map_or(0, |segment| segment.bytes);
         Ok(())
     }
 
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -51,10 +51,19 @@
 const LOCK: &str = "lock";
 
 impl Folder {
-    /// Fails with `ResourceBusy` where another process has it.
+    /// Made if it is not there. Fails with `ResourceBusy` where another process has it.
     pub fn open(path: &Path) -> io::Result<Folder> {
         fs::create_dir_all(path)?;
-        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join(LOCK))?;
+        Folder::locked(path, OpenOptions::new().create(true).truncate(false).write(true))
+    }
+
+    /// One that a journal has used before; nothing is made.
+    pub fn open_used(path: &Path) -> io::Result<Folder> {
+        Folder::locked(path, OpenOptions::new().write(true))
+    }
+
+    fn locked(path: &Path, options: &OpenOptions) -> io::Result<Folder> {
+        let lock = options.open(path.join(LOCK))?;
         match lock.try_lock() {
             Ok(()) => Ok(Folder { path: path.to_owned(), _lock: lock }),
             Err(TryLockError::WouldBlock) => {
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -47,7 +47,7 @@
 
 impl Clients {
     pub fn new(scenario: &Scenario, addresses: Vec<AddressBook>, mailbox: &Mailbox) -> Clients {
-        let grant = Grant { memory_mb: 192, sockets: 1024, disk_mb: 3.0 };
+        let grant = Grant::new(192, 1024, 3.0);
         let pool = |address| {
             let (jobs, inbox) = unbounded();
             Pool { jobs, inbox, free: Arc::default(), threads: 0, address }
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -157,7 +157,7 @@
 }
 
 fn serve(mut stream: TcpStream, sender: usize, shared: &Shared, mailbox: &Mailbox) {
-    let grant = Grant { memory_mb: 192, sockets: 1024, disk_mb: 3.0 };
+    let grant = Grant::new(192, 1024, 3.0);
     let (mut ring, mut out) = (Ring::default(), Ring::default());
     let limits = Limits { body: 1 << 20, ..Limits::of(grant) };
     _ = stream.set_nodelay(true);
--- a/crates/lab/src/sockets/doors.rs
+++ b/crates/lab/src/sockets/doors.rs
@@ -78,7 +78,7 @@
 }
 
 fn limits() -> Limits {
-    Limits::of(Grant { memory_mb: 192, sockets: 4096, disk_mb: 3.0 })
+    Limits::of(Grant::new(192, 4096, 3.0))
 }
 
 /// The texts of a call, or why it can't be read.
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a sender, from the file that `ROUTER_CONFIG` names.
 
-use crate::limits::{ClientRules, Grant, Limits};
+use crate::limits::{ClientRules, Grant, JournalRules, Limits};
 use crate::list::{self, Listing};
 use indigomast_site::{BootInfo, Complaint, Names, read};
 use serde::Deserialize;
@@ -49,6 +49,8 @@
     /// Not among what a platform sends; for installations of one's own.
     #[serde(default)]
     clients: ClientRules,
+    #[serde(default)]
+    journal: JournalRules,
 }
 
 impl Config {
@@ -89,8 +91,19 @@
                 return Err(format!("{field}: 0 lets nothing through"));
             }
         }
-        let limits =
-            Limits::of(file.limits).with_clients(file.clients).map_err(|e| format!("clients.{e}"))?;
+        let names = site.info.categories.iter().map(|category| &category.name).chain(&site.info.localities);
+        let longest_name = names.map(String::len).max().unwrap_or(0);
+        let grant = Grant { submits: site.info.ceilings.max_attempts, longest_name, ..file.limits };
+        let limits = Limits::of(grant).with_clients(file.clients).map_err(|e| format!("clients.{e}"))?;
+        let limits = limits.with_journal(file.journal).map_err(|e| format!("journal.{e}"))?;
+        let least = limits.journal.least();
+        if limits.journal.most < least {
+            return Err(format!(
+                "limits.disk_mb: {} is less than {:.1}",
+                file.limits.disk_mb,
+                least as f64 / 0.9e6
+            ));
+        }
         let known = Listing::of(file.known, &site, &limits).map_err(|e| format!("known.{e}"))?;
         Ok(Config {
             name: file.name,
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -363,7 +363,7 @@
             return;
         }
         let (id, key) = (info.id.clone(), info.key.clone());
-        let taken = if full { None } else { self.wal.take(info, body) };
+        let taken = if full { None } else { self.wal.take(info, body, now) };
         let Some(text) = taken.map(TextId) else {
             self.counters.turned_away.add(1);
             _ = reply.try_send(Admission::Full);
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod places;
 pub mod platform;
 pub mod ring;
+pub mod texts_log;
 pub mod threads;
 pub mod wal;
 
@@ -90,14 +91,15 @@
     pub fn start(config: Config) -> Result<Sender, String> {
         let Config { listen, discovery, state, seed, limits, site, known, .. } = config;
         log::set_lines_a_second(limits.log_lines_a_second);
-        let wal =
-            wal::Wal::open(&state, &limits).map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
+        let clock = Clock::start();
+        let wal = wal::Wal::open(&state, &limits, clock.now())
+            .map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
         let listener = TcpListener::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
         // The standard library asks for 128; asked again, the kernel takes the new length over.
         rustix::net::listen(&listener, limits.backlog).map_err(|e| format!("listen: {listen}: {e}"))?;
         let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
         let (limits, site) = (Arc::new(limits), Arc::new(site));
-        let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
+        let counters = Arc::<Counters>::default();
         let (decider, words) = bounded(limits.mailbox);
         let (list, asks) = bounded(limits.mailbox);
         let (notices, inbox) = bounded(limits.texts);
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -2,6 +2,7 @@
 
 use indigomast::time::Span;
 use indigomast_admission::{Network, Prefixes, Purpose, Settings, Shares, StrainSettings};
+use indigomast_journal::Durability;
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -11,6 +12,49 @@
     pub memory_mb: u64,
     pub sockets: usize,
     pub disk_mb: f64,
+    /// Submits of one text, and the longest name of a product or a zone; of the settings, not of what is granted.
+    #[serde(skip, default = "most_submits")]
+    pub submits: usize,
+    #[serde(skip, default = "short_name")]
+    pub longest_name: usize,
+}
+
+fn most_submits() -> usize {
+    6
+}
+
+fn short_name() -> usize {
+    24
+}
+
+impl Grant {
+    /// With the usual six submits and short names.
+    pub fn new(memory_mb: u64, sockets: usize, disk_mb: f64) -> Grant {
+        Grant { memory_mb, sockets, disk_mb, submits: most_submits(), longest_name: short_name() }
+    }
+}
+
+/// How surely what was taken on is kept, of an installation of one's own; a platform's default outlasts the process.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct JournalRules {
+    pub durability: Durable,
+    /// Between two syncs with `interval`.
+    pub interval_ms: f64,
+}
+
+impl Default for JournalRules {
+    fn default() -> JournalRules {
+        JournalRules { durability: Durable::Process, interval_ms: 100.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Durable {
+    Process,
+    Batch,
+    Interval,
 }
 
 /// What an installation of one's own sets for its clients. On a platform whose clients all come by one front nothing
@@ -91,11 +135,13 @@
     pub door: usize,
     pub links: usize,
     pub reports_a_call: usize,
-    /// One file of the log, and what the texts at hand may take of it and of the memory.
-    pub log_file: u64,
+    /// The journal's files, and what the texts at hand may take of them and of the memory.
+    pub journal: indigomast_journal::Settings,
     pub log_texts: u64,
-    /// Kept free in the log for what is still to be written of a text.
+    /// Kept free in the journal for what is still to be written of a text.
     pub log_reserve: u64,
+    /// Submits of one text at the most.
+    pub submits: usize,
     pub log_lines_a_second: u32,
     /// A client must have its whole request here, the first from the moment it connects, or take an answer,
     /// within these.
@@ -164,13 +210,19 @@
         let memory = grant.memory_mb.max(16) << 20;
         let body = 64 << 10;
         let head = 8 << 10;
-        let disk = (grant.disk_mb.max(0.1) * 1e6) as u64;
-        let log_file = disk / 2 - disk / 64;
-        // The image of what is owed stays well under a file, or each write would ask for a new one. Bytes are
-        // counted, not texts: most are small. A quarter of the memory is for them, with as much again for what
-        // all tables hold of a text, and a third for requests that are being read, of which each may be whole.
-        let log_texts = (log_file * 3 / 4).min(memory / 4);
-        let log_reserve = 320;
+        let disk = (grant.disk_mb.clamp(0.1, 1e9) * 1e6) as u64;
+        let name = 128;
+        let (submits, longest_name) = (grant.submits.max(1), grant.longest_name);
+        let longest = crate::wal::longest_payload(body as usize, name, longest_name, longest_name);
+        let log_reserve = crate::wal::reserve(submits, longest_name);
+        let journal = indigomast_journal::Settings::within(
+            // The rest is for the lock, the manifests, and what the platform counts of each file beyond its end.
+            disk / 16 * 15,
+            longest + log_reserve as usize,
+        );
+        // Bytes are counted, not texts: most are small. A quarter of the memory is for them, with as much again for
+        // what all tables hold of a text, and a third for requests that are being read, of which each may be whole.
+        let log_texts = journal.room().min(memory / 4);
         let texts = (log_texts / (log_reserve + 128)).min(memory / 4 / 1536) as usize;
         let links = (sockets / 3).max(2);
         let turned_away = (sockets / 12).max(2);
@@ -185,7 +237,7 @@
             head: head as usize,
             body: body as usize,
             headers: 48,
-            name: 128,
+            name,
             stack: 192 << 10,
             decider_stack: 1 << 20,
             list: 4 << 20,
@@ -201,9 +253,10 @@
             door,
             links,
             reports_a_call: 64,
-            log_file,
+            journal,
             log_texts,
             log_reserve,
+            submits,
             log_lines_a_second: 20,
             request_time: Duration::from_millis(2000),
             idle_client: Duration::from_secs(60),
@@ -258,6 +311,22 @@
         }
     }
 
+    /// Takes over how surely an installation wants its texts kept; a complaint names the field.
+    pub fn with_journal(mut self, rules: JournalRules) -> Result<Limits, String> {
+        let interval = Duration::try_from_secs_f64(rules.interval_ms / 1000.0).ok();
+        let interval =
+            interval.filter(|interval| !interval.is_zero() && *interval <= Duration::from_secs(60));
+        let Some(interval) = interval else {
+            return Err(format!("interval_ms: {} is not over 0 and up to 60000", rules.interval_ms));
+        };
+        self.journal.durability = match rules.durability {
+            Durable::Process => Durability::Process,
+            Durable::Batch => Durability::Batch,
+            Durable::Interval => Durability::Interval(interval),
+        };
+        Ok(self)
+    }
+
     /// Takes over what an installation sets for its clients; a complaint names the field.
     pub fn with_clients(mut self, rules: ClientRules) -> Result<Limits, String> {
         if rules.reserve >= self.clients {
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -1,5 +1,6 @@
 mod admission;
 mod common;
 mod forms;
+mod owed;
 mod parts;
 mod sockets;
