--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,10 +2,11 @@
 //!
 //! Reports go to standard output, progress and errors to standard error. Exit codes: 0 all went well; 1 something
 //! can't be used or done, said in one line; 2 the command line can't be read; 3 a rule was broken; 4 the rig itself
-//! ran late, so that the run says nothing; 130 interrupted.
+//! ran late, so that the run says nothing; 5 a journal is damaged; 130 interrupted.
 
 mod demo;
 mod emulate;
+mod journal;
 mod lab;
 
 use clap::{Parser, Subcommand};
@@ -37,6 +38,11 @@
     },
     /// Run a scenario's gateways and list alone, for senders started by hand
     Emulate(emulate::Arguments),
+    /// Look at a sender's journal: what is owed, whether it is sound
+    Journal {
+        #[command(subcommand)]
+        command: journal::Command,
+    },
     /// Run the sender itself, told by ROUTER_CONFIG and ROUTER_STATE
     Daemon,
 }
@@ -47,6 +53,8 @@
     RuleBroken,
     RigLate,
     Interrupted,
+    /// A journal has lost something.
+    Damaged,
 }
 
 impl From<String> for Failure {
@@ -86,6 +94,7 @@
         Command::Demo { json } => demo::run(json),
         Command::Lab { command } => lab::run(command),
         Command::Emulate(arguments) => emulate::run(arguments),
+        Command::Journal { command } => journal::run(command),
         Command::Daemon => indigomast_sender::run().map_err(Failure::Complaint),
     };
     match done {
@@ -99,6 +108,7 @@
             eprintln!("indigomast: the rig itself ran late; the run says nothing of the sender");
             ExitCode::from(4)
         }
+        Err(Failure::Damaged) => ExitCode::from(5),
         Err(Failure::Interrupted) => ExitCode::from(130),
     }
 }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -267,3 +267,78 @@
     assert!(runs["runs"][0]["lateness"]["most_ms"].as_f64().expect("a figure") >= 250.0);
     _ = fs::remove_dir_all(folder);
 }
+
+/// The journal of a sender that doesn't run: looked at, found damaged, compacted; one in use is refused.
+#[test]
+fn a_journal_is_looked_at_verified_and_compacted() {
+    use indigomast_sender::limits::{Grant, Limits};
+    use indigomast_sender::wal::{Report, TextInfo, Wal};
+    let folder = folder("journal");
+    let state = folder.display().to_string();
+    let limits = Limits::of(Grant::new(48, 384, 3.0));
+    let now = indigomast::time::Moment::from_millis(1e12);
+    let mut wal = Wal::open(&folder, &limits, now).expect("opens");
+    for (at, id) in ["unsent", "doubt", "never", "told", "over"].into_iter().enumerate() {
+        let info = TextInfo {
+            id: id.into(),
+            mark: Some("secret-mark".into()),
+            product: "receipt".into(),
+            key: Some("secret-key".into()),
+            dest: 7,
+            until_ms: 1e12,
+        };
+        assert_eq!(wal.take(info, b"secret body"[..].into(), now), Some(at));
+    }
+    wal.submitted(1, now, "a");
+    wal.submitted(2, now, "a");
+    wal.never_ran(2, 0);
+    wal.ended(3, Some(Report::Undeliverable));
+    wal.ended(4, None);
+    wal.flush().expect("written");
+    for command in ["inspect", "verify", "compact"] {
+        let output = run(&["journal", command, &state]);
+        assert_eq!(output.status.code(), Some(1), "{}", said(&output));
+        assert!(said(&output).contains("another process uses this folder"), "{}", said(&output));
+    }
+    drop(wal);
+    let inspect = || {
+        let output = run(&["journal", "inspect", &state, "--json"]);
+        assert!(output.status.success() && !said(&output).contains("secret"), "{}", said(&output));
+        let told: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+        let texts = told["texts"].as_array().expect("texts").clone();
+        let state = |text: &serde_json::Value| {
+            let part = |name: &str| text[name].as_str().expect("told").to_owned();
+            (part("id"), part("state"), text["submits"].as_u64().expect("a count"))
+        };
+        texts.iter().map(state).collect::<Vec<_>>()
+    };
+    let expected = [
+        ("unsent", "unsent", 0),
+        ("doubt", "in doubt", 1),
+        ("never", "never ran", 1),
+        ("told", "undeliverable", 0),
+    ];
+    let expected = expected.map(|(id, state, submits)| (id.to_owned(), state.to_owned(), submits));
+    assert_eq!(inspect(), expected);
+    let output = run(&["journal", "inspect", &state]);
+    assert!(output.status.success() && !said(&output).contains("secret"), "{}", said(&output));
+    assert!(said(&output).contains("4 texts owed, 1 of them only a report"), "{}", said(&output));
+    assert!(run(&["journal", "compact", &state]).status.success());
+    assert_eq!(inspect(), expected);
+    // A bit turned in the middle; nothing is changed by any of the three.
+    let segment = folder.join("journal").read_dir().expect("there").flatten().map(|entry| entry.path());
+    let segment =
+        segment.filter(|path| path.extension().is_some_and(|e| e == "seg")).max().expect("a segment");
+    let mut bytes = fs::read(&segment).expect("there");
+    bytes[100] ^= 4;
+    fs::write(&segment, &bytes).expect("writable");
+    for (command, code) in [("verify", 5), ("inspect", 5), ("compact", 1)] {
+        let output = run(&["journal", command, &state]);
+        assert_eq!(output.status.code(), Some(code), "{command}: {}", said(&output));
+        assert!(said(&output).contains("damaged"), "{command}: {}", said(&output));
+    }
+    assert_eq!(fs::read(&segment).expect("there"), bytes);
+    let output = run(&["journal", "verify", "/no/such/folder"]);
+    assert_eq!(output.status.code(), Some(1), "{}", said(&output));
+    _ = fs::remove_dir_all(folder);
+}
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -10,6 +10,8 @@
 
 const MANIFEST: &str = "manifest";
 const NEXT_MANIFEST: &str = "manifest.next";
+/// There have to be so many: some are read, some written, some kept for what is still to come.
+const SEGMENTS: u64 = 8;
 /// A segment written under other settings may be longer than today's; a file beyond this is read so far only.
 const LONGEST_SEGMENT: u64 = 256 << 20;
 
@@ -44,13 +46,14 @@
     /// For files of so many bytes together and payloads of so many, outlasting the process.
     pub fn within(most: u64, longest: usize) -> Settings {
         let least = least_segment(longest);
-        let segment = (most / 64).clamp(least, least.max(8 << 20));
+        let segment = (most / 64).clamp(least, least.max(2 << 20));
         Settings { segment, most, longest, step: 16 << 10, durability: Durability::Process }
     }
 
-    /// The least that all files together may have to be.
-    pub fn least(&self) -> u64 {
-        8 * self.segment
+    /// The longest payload that files of so many bytes together have room for.
+    pub fn longest_within(most: u64) -> usize {
+        let segment = (most / SEGMENTS) as usize;
+        (segment.saturating_sub(SEGMENT_HEAD) / 2).saturating_sub(RECORD_HEAD)
     }
 
     fn check(&self) -> io::Result<()> {
@@ -62,7 +65,7 @@
                 self.segment
             ));
         }
-        if self.most < self.least() {
+        if self.most < SEGMENTS * self.segment {
             return complain(format!("most: {} bytes are less than eight segments", self.most));
         }
         Ok(())
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -1,7 +1,8 @@
 //! Where the files are: a folder of the real file system, or a simulated one.
 
 use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
+use std::io::{self, ErrorKind, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
 /// What the journal needs of a folder. Every call may fail, and a write may take a part only.
@@ -84,11 +85,14 @@
     }
 
     fn create(&mut self, name: &str) -> io::Result<File> {
-        OpenOptions::new().read(true).write(true).create(true).truncate(true).open(self.path.join(name))
+        // Not truncated as it is opened: that can't be asked for together with appending.
+        let file = OpenOptions::new().read(true).append(true).create(true).open(self.path.join(name))?;
+        file.set_len(0)?;
+        Ok(file)
     }
 
     fn open(&mut self, name: &str) -> io::Result<File> {
-        OpenOptions::new().read(true).write(true).open(self.path.join(name))
+        OpenOptions::new().read(true).append(true).open(self.path.join(name))
     }
 
     fn length(&mut self, file: &File) -> io::Result<u64> {
@@ -96,13 +100,11 @@
     }
 
     fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<usize> {
-        file.seek(SeekFrom::End(0))?;
         file.write(bytes)
     }
 
     fn read(&mut self, file: &mut File, at: u64, into: &mut [u8]) -> io::Result<usize> {
-        file.seek(SeekFrom::Start(at))?;
-        file.read(into)
+        file.read_at(into, at)
     }
 
     fn truncate(&mut self, file: &mut File, length: u64) -> io::Result<()> {
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -10,6 +10,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+/// A sender that can't take on texts of this size is of no use.
+const LEAST_BODY: usize = 1024;
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -96,12 +99,10 @@
         let grant = Grant { submits: site.info.ceilings.max_attempts, longest_name, ..file.limits };
         let limits = Limits::of(grant).with_clients(file.clients).map_err(|e| format!("clients.{e}"))?;
         let limits = limits.with_journal(file.journal).map_err(|e| format!("journal.{e}"))?;
-        let least = limits.journal.least();
-        if limits.journal.most < least {
+        if limits.body < LEAST_BODY {
+            let (disk, body) = (file.limits.disk_mb, limits.body);
             return Err(format!(
-                "limits.disk_mb: {} is less than {:.1}",
-                file.limits.disk_mb,
-                least as f64 / 0.9e6
+                "limits.disk_mb: {disk} has room for texts of {body} bytes, {LEAST_BODY} are wanted"
             ));
         }
         let known = Listing::of(file.known, &site, &limits).map_err(|e| format!("known.{e}"))?;
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -208,18 +208,18 @@
         // Standard streams, the listener, the log's two files, the signal's pipe and discovery.
         let sockets = grant.sockets.saturating_sub(24).max(8);
         let memory = grant.memory_mb.max(16) << 20;
-        let body = 64 << 10;
         let head = 8 << 10;
-        let disk = (grant.disk_mb.clamp(0.1, 1e9) * 1e6) as u64;
+        let disk = (grant.disk_mb.clamp(0.0, 1e9) * 1e6) as u64;
         let name = 128;
         let (submits, longest_name) = (grant.submits.max(1), grant.longest_name);
-        let longest = crate::wal::longest_payload(body as usize, name, longest_name, longest_name);
         let log_reserve = crate::wal::reserve(submits, longest_name);
-        let journal = indigomast_journal::Settings::within(
-            // The rest is for the lock, the manifests, and what the platform counts of each file beyond its end.
-            disk / 16 * 15,
-            longest + log_reserve as usize,
-        );
+        // The rest is for the lock, the manifests, and what the platform counts of each file beyond its end.
+        let files = disk / 16 * 15;
+        // A small disk has room for short texts only.
+        let beside = crate::wal::longest_payload(0, name, longest_name, longest_name) + log_reserve as usize;
+        let body =
+            indigomast_journal::Settings::longest_within(files).saturating_sub(beside).min(64 << 10) as u64;
+        let journal = indigomast_journal::Settings::within(files, beside + body as usize);
         // Bytes are counted, not texts: most are small. A quarter of the memory is for them, with as much again for
         // what all tables hold of a text, and a third for requests that are being read, of which each may be whole.
         let log_texts = journal.room().min(memory / 4);
--- a/crates/sender/src/wal.rs
+++ b/crates/sender/src/wal.rs
@@ -101,7 +101,6 @@
     pub body: Arc<[u8]>,
     pub report: Option<Report>,
     pub(crate) sent: Sent,
-    /// When it was taken on, in Unix time.
     pub(crate) taken_ms: f64,
     bytes: u64,
 }
@@ -111,6 +110,16 @@
         self.sent.submits
     }
 
+    /// Whether a submit may have run that nobody knows the end of.
+    pub fn is_in_doubt(&self) -> bool {
+        self.sent.doubt.is_some() || self.sent.last.is_some()
+    }
+
+    /// When it was taken on, in Unix time.
+    pub fn taken_ms(&self) -> f64 {
+        self.taken_ms
+    }
+
     /// What the decisions have to know of earlier submits; those without an outcome may have run.
     pub fn past(&self, zone: impl Fn(&str) -> indigomast::api::ZoneId) -> Past {
         let doubt = self.sent.doubt.as_ref().or(self.sent.last.as_ref());
@@ -326,6 +335,11 @@
         let settings = limits.journal.clone();
         let (journal, recovered) =
             Journal::open(store, settings, number, &mut |key, entry| reading.hear(key, entry))?;
+        if reading.unread > 0 {
+            // Their checksums hold, so another program wrote them, which may want them yet.
+            let what = format!("{} sound records can't be read by this program", reading.unread);
+            return Err(io::Error::new(ErrorKind::InvalidData, what));
+        }
         let mut wal = Wal {
             journal,
             owed: reading.owed,
@@ -337,7 +351,7 @@
             began: Instant::now(),
             compactions: 0,
         };
-        wal.tell(&recovered, reading.unread);
+        wal.tell(&recovered);
         wal.suspect(&recovered, limits.submits);
         for (text, owed) in &mut wal.owed {
             owed.bytes = store_length(owed) + wal.reserve;
@@ -349,7 +363,7 @@
         Ok(wal)
     }
 
-    fn tell(&self, recovered: &Recovered, unread: u64) {
+    fn tell(&self, recovered: &Recovered) {
         if let Some(torn) = recovered.torn {
             log!("the journal ends in a torn record: {} bytes dropped", torn.bytes);
         }
@@ -369,11 +383,6 @@
             let count = recovered.suspects.len();
             log!("{count} texts may have lost something to the damage and count as sent as often as may be");
         }
-        if unread > 0 {
-            log!(
-                "{unread} sound records of the journal can't be read by this program: what they say is lost"
-            );
-        }
     }
 
     /// What may have been lost of a text was: it counts as submitted as often as the lost bytes can have told of, and as
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -92,6 +92,10 @@
         }
     }
 
+    pub fn next_within(&self, time: Duration) -> Option<Visit> {
+        self.visits.recv_timeout(time).ok()
+    }
+
     pub fn next(&self) -> Visit {
         self.visits.recv_timeout(PATIENCE).expect("a request comes")
     }
@@ -364,6 +368,17 @@
         std::str::from_utf8(&head).ok()?.strip_prefix("HTTP/1.1 ")?.parse().ok()
     }
 
+    /// Reads an answer's rest, so that the next answer is the next read.
+    pub fn rest(&mut self) -> Option<()> {
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.stream.read_exact(&mut byte).ok()?;
+            seen.push(byte[0]);
+        }
+        Some(())
+    }
+
     /// Whether the sender has ended the connection by now.
     pub fn is_gone(&self) -> bool {
         self.stream.set_nonblocking(true).expect("a mode is set");
--- a/crates/sender/tests/sender/sockets.rs
+++ b/crates/sender/tests/sender/sockets.rs
@@ -712,6 +712,11 @@
         *config.pointer_mut(path).expect("there") = value;
         config
     };
+    let journal = |value| {
+        let mut config = good.clone();
+        config["journal"] = value;
+        config
+    };
     let cases = [
         (drop_field("", "listen"), "missing field `listen`"),
         (drop_field("/settings", "categories"), "settings: missing field `categories`"),
@@ -719,6 +724,10 @@
         (set("/listen", json!("nowhere")), "listen"),
         (set("/seed", json!("xyz")), "seed"),
         (set("/limits/sockets", json!(0)), "limits.sockets"),
+        (set("/limits/disk_mb", json!(0.02)), "limits.disk_mb: 0.02 has room for texts of 187 bytes"),
+        (journal(json!({"durability": "often"})), "journal.durability: unknown variant `often`"),
+        (journal(json!({"interval_ms": 0})), "journal.interval_ms: 0 is not over 0"),
+        (journal(json!({"interval": 5})), "journal.interval: unknown field `interval`"),
         (set("/settings/family-info/call-slots", json!(0)), "settings.family-info.call-slots"),
         (set("/settings/ceilings/keepalive-ms", json!(-5)), "settings.ceilings.keepalive-ms"),
         (set("/settings/membership-mode", json!("odd")), "settings.membership-mode"),
