An installation of one's own: one file, watched lists, ends to a file or a callback

Need: the daemon could only be told what to do in the platform's JSON by two variables; lists could not be edited by hand, and nobody but the platform could be told how texts ended.

Lists of gateways stand in it or in watched files: read whole, checked whole (`# end`, or with a sum by `indigomast seal`), swapped whole once found the same twice; one that takes away more than a part of the running gateways is held until SIGHUP. The sender has traits for sources and for whoever is told of ends. Its lines go through the `log` facade; the daemons install a sink, plain or JSON, and `run` has a line for each text that was given up. `indigomast run`, `check`, `completions`, `man`.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 
 mod demo;
 mod emulate;
+mod install;
 mod journal;
 mod lab;
 
@@ -25,6 +26,21 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Run an installation of one's own, told by a file
+    Run { file: PathBuf },
+    /// Say everything that a run of this file would refuse, and what it would regret
+    Check { file: PathBuf },
+    /// What is in force by a file, and what may stand in one
+    Config {
+        #[command(subcommand)]
+        command: install::Command,
+    },
+    /// Write a list's last line, by which a sender knows that all of it is there
+    Seal { file: PathBuf },
+    /// Completions for a shell, on standard output
+    Completions { shell: clap_complete::Shell },
+    /// The manual page, on standard output
+    Man,
     /// Show one sender at work while a gateway stalls and comes back cold; ends by itself within 20 s
     Demo {
         /// Print the report as JSON
@@ -91,6 +107,12 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let done = match arguments.command {
+        Command::Run { file } => install::run(&file),
+        Command::Check { file } => install::check(&file),
+        Command::Config { command } => install::config(command),
+        Command::Seal { file } => install::seal(&file),
+        Command::Completions { shell } => install::completions(shell),
+        Command::Man => install::man(),
         Command::Demo { json } => demo::run(json),
         Command::Lab { command } => lab::run(command),
         Command::Emulate(arguments) => emulate::run(arguments),
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -1,7 +1,8 @@
 //! What the platform tells a sender, from the file that `ROUTER_CONFIG` names.
 
 use crate::limits::{ClientRules, Grant, JournalRules, Limits};
-use crate::list::{self, Listing};
+use crate::list::{self, Listing, Source};
+use crate::notices::Reporter;
 use indigomast_site::{BootInfo, Complaint, Names, read};
 use serde::Deserialize;
 use std::env;
@@ -16,7 +17,7 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    pub outside: Outside,
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
@@ -24,6 +25,16 @@
     pub known: Listing,
 }
 
+/// Where the list comes from, and who is told how texts ended.
+pub enum Outside {
+    /// The platform's discovery, which is told as well.
+    Platform(SocketAddr),
+    Own {
+        source: Box<dyn Source>,
+        reporter: Box<dyn Reporter>,
+    },
+}
+
 /// The settings, and the names in them as indices.
 pub struct Site {
     pub info: BootInfo,
@@ -35,6 +46,49 @@
 }
 
 impl Site {
+    /// Checks what every carrier of a site has to have; a complaint names the field.
+    pub fn of(info: BootInfo) -> Result<Site, Complaint> {
+        let time = |ms: f64, field: &str| {
+            let time = Duration::try_from_secs_f64(ms / 1000.0).ok().filter(|time| !time.is_zero());
+            time.ok_or_else(|| format!("ceilings.{field}: {ms} ms is no time"))
+        };
+        for (field, value) in [
+            ("family-info.call-slots", info.family_info.call_slots),
+            ("ceilings.max-attempts", info.ceilings.max_attempts),
+            ("ceilings.most-held", info.ceilings.most_held),
+        ] {
+            if value == 0 {
+                return Err(format!("{field}: 0 lets nothing through"));
+            }
+        }
+        Ok(Site {
+            products: Names::of(info.categories.iter().map(|category| category.name.clone()).collect()),
+            kinds: Names::of(info.kinds.clone()),
+            zones: Names::of(info.localities.clone()),
+            connect_time: time(info.ceilings.connect_timeout_ms, "connect-timeout-ms")?,
+            keeps_alive: time(info.ceilings.keepalive_ms, "keepalive-ms")?,
+            info,
+        })
+    }
+
+    /// What is granted, as limits of a sender of this site.
+    pub fn limits(&self, grant: Grant) -> Result<Limits, Complaint> {
+        if grant.sockets == 0 {
+            return Err("limits.sockets: 0 lets nothing through".into());
+        }
+        let names = self.info.categories.iter().map(|category| &category.name).chain(&self.info.localities);
+        let longest_name = names.map(String::len).max().unwrap_or(0);
+        let disk = grant.disk_mb;
+        let limits = Limits::of(Grant { submits: self.info.ceilings.max_attempts, longest_name, ..grant });
+        if limits.body < LEAST_BODY {
+            let body = limits.body;
+            return Err(format!(
+                "limits.disk_mb: {disk} has room for texts of {body} bytes, {LEAST_BODY} are wanted"
+            ));
+        }
+        Ok(limits)
+    }
+
     pub fn keeps_order(&self, product: &str) -> bool {
         self.info.categories.iter().any(|category| category.name == product && category.in_order)
     }
@@ -71,45 +125,15 @@
     pub fn parse(text: &str, state: PathBuf) -> Result<Config, Complaint> {
         let file: File = read(text)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?;
-        let info = file.settings;
-        let time = |ms: f64, field: &str| {
-            let time = Duration::try_from_secs_f64(ms / 1000.0).ok().filter(|time| !time.is_zero());
-            time.ok_or_else(|| format!("settings.ceilings.{field}: {ms} ms is no time"))
-        };
-        let site = Site {
-            products: Names::of(info.categories.iter().map(|category| category.name.clone()).collect()),
-            kinds: Names::of(info.kinds.clone()),
-            zones: Names::of(info.localities.clone()),
-            connect_time: time(info.ceilings.connect_timeout_ms, "connect-timeout-ms")?,
-            keeps_alive: time(info.ceilings.keepalive_ms, "keepalive-ms")?,
-            info,
-        };
-        for (field, value) in [
-            ("settings.family-info.call-slots", site.info.family_info.call_slots),
-            ("settings.ceilings.max-attempts", site.info.ceilings.max_attempts),
-            ("settings.ceilings.most-held", site.info.ceilings.most_held),
-            ("limits.sockets", file.limits.sockets),
-        ] {
-            if value == 0 {
-                return Err(format!("{field}: 0 lets nothing through"));
-            }
-        }
-        let names = site.info.categories.iter().map(|category| &category.name).chain(&site.info.localities);
-        let longest_name = names.map(String::len).max().unwrap_or(0);
-        let grant = Grant { submits: site.info.ceilings.max_attempts, longest_name, ..file.limits };
-        let limits = Limits::of(grant).with_clients(file.clients).map_err(|e| format!("clients.{e}"))?;
+        let site = Site::of(file.settings).map_err(|e| format!("settings.{e}"))?;
+        let limits = site.limits(file.limits)?;
+        let limits = limits.with_clients(file.clients).map_err(|e| format!("clients.{e}"))?;
         let limits = limits.with_journal(file.journal).map_err(|e| format!("journal.{e}"))?;
-        if limits.body < LEAST_BODY {
-            let (disk, body) = (file.limits.disk_mb, limits.body);
-            return Err(format!(
-                "limits.disk_mb: {disk} has room for texts of {body} bytes, {LEAST_BODY} are wanted"
-            ));
-        }
         let known = Listing::of(file.known, &site, &limits).map_err(|e| format!("known.{e}"))?;
         Ok(Config {
             name: file.name,
             listen: file.listen,
-            discovery: file.discovery,
+            outside: Outside::Platform(file.discovery),
             state,
             seed,
             limits,
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -10,7 +10,7 @@
 use crate::peer::{self, Call, Part, Peer, Trunk};
 use crate::places::Places;
 use crate::wal::{Report, TextInfo, Wal};
-use crate::{log, threads};
+use crate::{log, log_decision, threads};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use indigomast::api::*;
 use indigomast::rules::Rules;
@@ -585,6 +585,20 @@
     fn give_up(&mut self, text: TextId, report: Report) {
         let Some(owed) = self.wal.owed().get(&text.0) else { return };
         let id = owed.info.id.clone();
+        let (dest, submits) = (owed.info.dest, owed.submits());
+        match report {
+            Report::Nacked { again_ms } => {
+                let again_ms = again_ms.map_or(-1.0, f64::round);
+                log_decision!(text = id, dest, submits, again_ms, reason = "no room in its time"; "nacked");
+            }
+            Report::Undeliverable => {
+                let reason = match owed.is_in_doubt() {
+                    true => "a submit may have run and none more may go in its time",
+                    false => "its time is up, or its submits are",
+                };
+                log_decision!(text = id, dest, submits, reason; "undeliverable");
+            }
+        }
         self.wal.ended(text.0, Some(report));
         self.notes.push(Notice { text, id, report });
     }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -27,11 +27,14 @@
 pub mod threads;
 pub mod wal;
 
+use ::log::LevelFilter;
 use clock::Clock;
-use config::Config;
+use config::{Config, Outside};
 use counters::Counters;
 use crossbeam_channel::{Receiver, bounded};
 use indigomast_admission::Budget;
+use list::Source;
+use notices::Reporter;
 use platform::Platform;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -73,7 +76,7 @@
 /// Takes over what may change while a sender runs, from any thread.
 #[derive(Clone)]
 pub struct Reloader {
-    platform: Arc<Platform>,
+    platform: Option<Arc<Platform>>,
     list: crossbeam_channel::Sender<list::Ask>,
 }
 
@@ -82,15 +85,21 @@
     /// the next start. The list comes anew as a whole even from the same address: whoever asks for a reload may
     /// know that what was told is no longer so.
     pub fn reload(&self, config: &Config) {
-        self.platform.moves(config.discovery);
+        if let (Some(platform), Outside::Platform(discovery)) = (&self.platform, &config.outside) {
+            platform.moves(*discovery);
+        }
+        self.renew();
+    }
+
+    /// Has the source tell its list anew. What it held back for being doubtful is confirmed by that.
+    pub fn renew(&self) {
         _ = self.list.send(list::Ask::Renew);
     }
 }
 
 impl Sender {
     pub fn start(config: Config) -> Result<Sender, String> {
-        let Config { listen, discovery, state, seed, limits, site, known, .. } = config;
-        log::set_lines_a_second(limits.log_lines_a_second);
+        let Config { listen, outside, state, seed, limits, site, known, .. } = config;
         let clock = Clock::start();
         let wal = wal::Wal::open(&state, &limits, clock.now())
             .map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
@@ -104,22 +113,29 @@
         let (list, asks) = bounded(limits.mailbox);
         let (notices, inbox) = bounded(limits.texts);
         let (over, ended) = bounded(8);
-        let platform = Arc::new(Platform::at(discovery));
         let threadless = |e: std::io::Error| format!("no thread: {e}");
         let stack = limits.stack;
 
-        let actor = list::List {
-            platform: Arc::clone(&platform),
-            site: Arc::clone(&site),
-            limits: Arc::clone(&limits),
-            counters: Arc::clone(&counters),
-            decider: decider.clone(),
-            revision: known.revision,
+        let mut platform = None;
+        let (source, reporter): (Box<dyn Source>, Box<dyn Reporter>) = match outside {
+            Outside::Own { source, reporter } => (source, reporter),
+            Outside::Platform(discovery) => {
+                let there = Arc::clone(platform.insert(Arc::new(Platform::at(discovery))));
+                let actor = list::List {
+                    platform: Arc::clone(&there),
+                    site: Arc::clone(&site),
+                    limits: Arc::clone(&limits),
+                    revision: known.revision,
+                };
+                let post = notices::Post::new(Arc::clone(&limits));
+                (Box::new(actor), Box::new(notices::ToPlatform { platform: there, post }))
+            }
         };
-        threads::actor("list", stack, &over, move || actor.run(asks)).map_err(threadless)?;
+        let teller = list::Teller::new(decider.clone(), Arc::clone(&counters));
+        threads::actor("list", stack, &over, move || source.run(asks, teller)).map_err(threadless)?;
 
-        let reloader = Reloader { platform: Arc::clone(&platform), list: list.clone() };
-        let actor = notices::Notices { platform, limits: Arc::clone(&limits), decider: decider.clone() };
+        let reloader = Reloader { platform, list: list.clone() };
+        let actor = notices::Notices { reporter, limits: Arc::clone(&limits), decider: decider.clone() };
         threads::actor("notices", stack, &over, move || actor.run(inbox)).map_err(threadless)?;
 
         let budget = Budget::new(limits.descriptors, limits.shares);
@@ -187,6 +203,8 @@
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let config = Config::from_env()?;
     let (name, stack) = (config.name.clone(), config.limits.stack);
+    log::Sink::new("indigomastd", log::Format::Plain, config.limits.log_lines_a_second)
+        .install(LevelFilter::Warn);
     let sender = Sender::start(config)?;
     log!("{name} listens on {}", sender.address);
     let (counters, stopper, reloader) = (Arc::clone(&sender.counters), sender.stopper(), sender.reloader());
@@ -195,7 +213,9 @@
             match signal {
                 SIGHUP => match Config::from_env() {
                     Ok(config) => {
-                        log!("the configuration was read again: discovery is at {}", config.discovery);
+                        if let Outside::Platform(discovery) = config.outside {
+                            log!("the configuration was read again: discovery is at {discovery}");
+                        }
                         reloader.reload(&config);
                     }
                     Err(complaint) => log!("the configuration stays as it was: {complaint}"),
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -140,6 +140,8 @@
     pub log_texts: u64,
     /// Kept free in the journal for what is still to be written of a text.
     pub log_reserve: u64,
+    /// How long a start waits for the process before to let go of the journal.
+    pub lock_wait: Duration,
     /// Submits of one text at the most.
     pub submits: usize,
     pub log_lines_a_second: u32,
@@ -256,6 +258,7 @@
             journal,
             log_texts,
             log_reserve,
+            lock_wait: Duration::from_millis(1000),
             submits,
             log_lines_a_second: 20,
             request_time: Duration::from_millis(2000),
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -1,4 +1,4 @@
-//! The discovery actor: asks for the list of endpoints, or watches it, and tells the decider what it says.
+//! The list of endpoints: what a source of it is, and the platform's discovery, which is asked for it or watched.
 
 use crate::config::Site;
 use crate::counters::Counters;
@@ -98,6 +98,35 @@
     }
 }
 
+/// Where a list of endpoints comes from. An actor of its own: it tells what it knows unasked or when asked, as it is made,
+/// and ends when nobody can ask any more.
+pub trait Source: Send {
+    fn run(self: Box<Self>, asks: Receiver<Ask>, teller: Teller);
+}
+
+/// The way from a source to the decisions.
+#[derive(Clone)]
+pub struct Teller {
+    decider: Mailbox,
+    counters: Arc<Counters>,
+}
+
+impl Teller {
+    pub fn new(decider: Mailbox, counters: Arc<Counters>) -> Teller {
+        Teller { decider, counters }
+    }
+
+    /// What the list says now; none where asking failed, and then the one in force stays.
+    pub fn tell(&self, listing: Option<Listing>) {
+        match &listing {
+            Some(_) => self.counters.lists.add(1),
+            None => self.counters.bad_lists.add(1),
+        }
+        _ = self.decider.send(Word::Listed(listing));
+    }
+}
+
+#[derive(Clone, Debug)]
 pub enum Ask {
     Watch(bool),
     Read,
@@ -110,8 +139,7 @@
     platform: Arc<Platform>,
     site: Arc<Site>,
     limits: Arc<Limits>,
-    counters: Arc<Counters>,
-    decider: Mailbox,
+    teller: Teller,
     /// What was told last; none where nothing that is known goes on.
     revision: Mutex<Option<u64>>,
     /// The watch that runs, by number, and its connection.
@@ -124,18 +152,16 @@
     pub platform: Arc<Platform>,
     pub site: Arc<Site>,
     pub limits: Arc<Limits>,
-    pub counters: Arc<Counters>,
-    pub decider: Mailbox,
     pub revision: u64,
 }
 
-impl List {
+impl Source for List {
     /// Works through what is asked until nobody can ask any more.
-    pub fn run(self, asks: Receiver<Ask>) {
-        let List { platform, site, limits, counters, decider, revision } = self;
+    fn run(self: Box<Self>, asks: Receiver<Ask>, teller: Teller) {
+        let List { platform, site, limits, revision } = *self;
         let unasked = !site.info.decode().must_subscribe;
         let (revision, watch) = (Mutex::new(Some(revision)), Mutex::default());
-        let desk = Desk { platform, site, limits, counters, decider, revision, watch, unasked };
+        let desk = Desk { platform, site, limits, teller, revision, watch, unasked };
         let desk = Arc::new(desk);
         if unasked {
             desk.watch(true);
@@ -162,14 +188,10 @@
 
 impl Desk {
     fn tell(&self, listing: Option<Listing>) {
-        match &listing {
-            Some(listing) => {
-                *self.revision() = Some(listing.revision);
-                self.counters.lists.add(1);
-            }
-            None => self.counters.bad_lists.add(1),
+        if let Some(listing) = &listing {
+            *self.revision() = Some(listing.revision);
         }
-        _ = self.decider.send(Word::Listed(listing));
+        self.teller.tell(listing);
     }
 
     fn revision(&self) -> std::sync::MutexGuard<'_, Option<u64>> {
--- a/crates/sender/src/log.rs
+++ b/crates/sender/src/log.rs
@@ -1,8 +1,39 @@
-//! Log lines on standard error, behind one macro that lets only so many a second through.
+//! What staff are told: through the `log` facade, so that a program that holds a sender sees it in its own way; and the
+//! daemon's sink, which writes so many lines a second to standard error.
+//!
+//! A line never holds a text's body, mark or key.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+pub use ::log as facade;
+use ::log::kv::{Error, Key, Value, VisitSource};
+use ::log::{LevelFilter, Log, Metadata, Record};
+use std::fmt::Write;
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Something that staff may have to look at.
+#[macro_export]
+macro_rules! log {
+    ($($what:tt)*) => {
+        $crate::log::facade::warn!(target: "indigomast", $($what)*)
+    };
+}
+
+/// What became of a text by a decision, with `text`, `dest` and `reason` as key and value.
+#[macro_export]
+macro_rules! log_decision {
+    ($($what:tt)*) => {
+        $crate::log::facade::info!(target: "indigomast", $($what)*)
+    };
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// `program: what key=value`
+    #[default]
+    Plain,
+    /// An object a line: `at_ms`, `level`, `what`, and keys and values beside them.
+    Json,
+}
 
 struct Second {
     from: Option<Instant>,
@@ -10,37 +41,125 @@
     left_out: u32,
 }
 
-static SECOND: Mutex<Second> = Mutex::new(Second { from: None, lines: 0, left_out: 0 });
-static MOST: AtomicU32 = AtomicU32::new(20);
+/// Lines on standard error, so many a second at the most.
+pub struct Sink {
+    program: &'static str,
+    format: Format,
+    most: u32,
+    second: Mutex<Second>,
+}
+
+/// Keys and values as they are written.
+#[derive(Default)]
+struct Pairs(Vec<(String, String)>);
 
-pub fn set_lines_a_second(most: u32) {
-    MOST.store(most, Ordering::Relaxed);
+impl<'kvs> VisitSource<'kvs> for Pairs {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.0.push((key.to_string(), value.to_string()));
+        Ok(())
+    }
 }
 
-/// Whether one more line may be written now, and how many were left out since the last.
-pub fn admit() -> Option<u32> {
-    let mut second = SECOND.lock().unwrap_or_else(PoisonError::into_inner);
-    let now = Instant::now();
-    if second.from.is_none_or(|from| now - from >= Duration::from_secs(1)) {
-        second.from = Some(now);
-        second.lines = 0;
+impl Sink {
+    pub fn new(program: &'static str, format: Format, lines_a_second: u32) -> Sink {
+        let second = Second { from: None, lines: 0, left_out: 0 };
+        Sink { program, format, most: lines_a_second, second: Mutex::new(second) }
     }
-    if second.lines >= MOST.load(Ordering::Relaxed) {
-        second.left_out += 1;
-        return None;
+
+    /// Becomes the process's own, unless it has one.
+    pub fn install(self, level: LevelFilter) {
+        if ::log::set_boxed_logger(Box::new(self)).is_ok() {
+            ::log::set_max_level(level);
+        }
     }
-    second.lines += 1;
-    Some(std::mem::take(&mut second.left_out))
-}
 
-#[macro_export]
-macro_rules! log {
-    ($($what:tt)*) => {
-        if let Some(left_out) = $crate::log::admit() {
-            if left_out > 0 {
-                eprintln!("indigomastd: {left_out} lines left out");
+    /// Whether one more line may be written now, and how many were left out since the last.
+    fn admit(&self, now: Instant) -> Option<u32> {
+        let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
+        if second.from.is_none_or(|from| now - from >= Duration::from_secs(1)) {
+            second.from = Some(now);
+            second.lines = 0;
+        }
+        if second.lines >= self.most {
+            second.left_out += 1;
+            return None;
+        }
+        second.lines += 1;
+        Some(std::mem::take(&mut second.left_out))
+    }
+
+    fn line(&self, at_ms: u128, level: &str, what: &str, pairs: &[(String, String)]) -> String {
+        match self.format {
+            Format::Plain => {
+                let mut line = format!("{}: {what}", self.program);
+                for (key, value) in pairs {
+                    _ = write!(line, " {key}={value}");
+                }
+                // Whatever came in from outside may not pass for a line of its own.
+                line.replace(['\n', '\r'], " ")
+            }
+            Format::Json => {
+                let mut object = serde_json::Map::new();
+                object.insert("at_ms".into(), (at_ms as u64).into());
+                object.insert("level".into(), level.into());
+                object.insert("what".into(), what.into());
+                for (key, value) in pairs {
+                    object.entry(key.clone()).or_insert_with(|| value.as_str().into());
+                }
+                serde_json::Value::Object(object).to_string()
             }
-            eprintln!("indigomastd: {}", format_args!($($what)*));
         }
-    };
+    }
+}
+
+impl Log for Sink {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.target().starts_with("indigomast")
+    }
+
+    fn log(&self, record: &Record) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let Some(left_out) = self.admit(Instant::now()) else { return };
+        let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        if left_out > 0 {
+            eprintln!("{}", self.line(at_ms, "warn", &format!("{left_out} lines left out"), &[]));
+        }
+        let mut pairs = Pairs::default();
+        _ = record.key_values().visit(&mut pairs);
+        let level = record.level().as_str().to_lowercase();
+        eprintln!("{}", self.line(at_ms, &level, &record.args().to_string(), &pairs.0));
+    }
+
+    fn flush(&self) {}
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn so_many_lines_a_second_and_then_how_many_were_left_out() {
+        let sink = Sink::new("p", Format::Plain, 3);
+        let start = Instant::now();
+        let admitted: Vec<_> = (0..5).map(|_| sink.admit(start)).collect();
+        assert_eq!(admitted, [Some(0), Some(0), Some(0), None, None]);
+        assert_eq!(sink.admit(start + Duration::from_millis(999)), None);
+        assert_eq!(sink.admit(start + Duration::from_millis(1000)), Some(3));
+    }
+
+    #[test]
+    fn a_line_is_one_line_whatever_is_in_it() {
+        let pairs = [("text".to_owned(), "a\"b".to_owned()), ("what".to_owned(), "no".to_owned())];
+        let plain = Sink::new("p", Format::Plain, 3).line(7, "info", "two\nlines", &pairs);
+        assert_eq!(plain, "p: two lines text=a\"b what=no");
+        let json = Sink::new("p", Format::Json, 3).line(7, "info", "two\nlines", &pairs);
+        let told: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+        assert_eq!(
+            told,
+            serde_json::json!({"at_ms": 7, "level": "info", "what": "two\nlines", "text": "a\"b"})
+        );
+        assert_eq!(json.lines().count(), 1);
+    }
 }
--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -1,4 +1,4 @@
-//! The actor that reports how texts ended to the platform, until each report is answered.
+//! The actor that reports how texts ended, to the platform or wherever it is told to, until each report is answered.
 
 use crate::decider::Word;
 use crate::http;
@@ -15,6 +15,7 @@
 use std::thread;
 use std::time::Instant;
 
+#[derive(Clone, Debug)]
 pub struct Notice {
     pub text: TextId,
     pub id: String,
@@ -41,39 +42,46 @@
     }
 }
 
-pub struct Notices {
-    pub platform: Arc<Platform>,
-    pub limits: Arc<Limits>,
-    pub decider: Mailbox,
+/// Whoever is told how texts ended.
+pub trait Reporter: Send {
+    /// Tells of these, all or none. On an error, which says what went wrong, they are told again.
+    fn report(&mut self, batch: &[Notice]) -> Result<Answer, String>;
 }
 
-enum Answer {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
     Heard,
+    /// One of them at least can't be read there: told alone, it is dropped.
     Unreadable,
 }
 
+pub struct Notices {
+    pub reporter: Box<dyn Reporter>,
+    pub limits: Arc<Limits>,
+    pub decider: Mailbox,
+}
+
 impl Notices {
-    pub fn run(self, inbox: Receiver<Notice>) {
-        let mut link = None;
+    pub fn run(mut self, inbox: Receiver<Notice>) {
         while let Ok(first) = inbox.recv() {
             let mut batch = vec![first];
             batch.extend(inbox.try_iter().take(self.limits.reports_a_call - 1));
-            self.see_through(&mut link, batch);
+            self.see_through(batch);
         }
     }
 
     /// A lost or late answer says nothing, and a notice that comes twice does no harm: it goes again.
-    fn see_through(&self, link: &mut Option<(SocketAddr, Link)>, batch: Vec<Notice>) {
+    fn see_through(&mut self, batch: Vec<Notice>) {
         let mut pause = self.limits.report_pause;
         loop {
-            match self.post(link, &batch) {
+            match self.reporter.report(&batch) {
                 Ok(Answer::Heard) => {
                     _ = self.decider.send(Word::Reported(batch.iter().map(|n| n.text).collect()));
                     return;
                 }
                 Ok(Answer::Unreadable) if batch.len() > 1 => {
                     // One that can't be read would hold back all others.
-                    return batch.into_iter().for_each(|notice| self.see_through(link, vec![notice]));
+                    return batch.into_iter().for_each(|notice| self.see_through(vec![notice]));
                 }
                 Ok(Answer::Unreadable) => {
                     log!("the notice for {} can't be read by the platform and is dropped", batch[0].id);
@@ -82,33 +90,64 @@
                 }
                 Err(e) => {
                     log!("a notice was not answered: {e}");
-                    *link = None;
                     thread::sleep(pause);
                     pause = (pause * 2).min(self.limits.longest_report_pause);
                 }
             }
         }
     }
+}
 
-    fn post(&self, link: &mut Option<(SocketAddr, Link)>, batch: &[Notice]) -> Result<Answer, String> {
+/// Requests with a body to one address, over one connection as long as it lasts.
+pub struct Post {
+    limits: Arc<Limits>,
+    link: Option<(SocketAddr, Link)>,
+}
+
+impl Post {
+    pub fn new(limits: Arc<Limits>) -> Post {
+        Post { limits, link: None }
+    }
+
+    /// The status of the answer.
+    pub fn post(&mut self, address: SocketAddr, path: &str, body: &str) -> Result<u16, String> {
+        let status = self.ask(address, path, body);
+        if status.is_err() {
+            self.link = None;
+        }
+        status
+    }
+
+    fn ask(&mut self, address: SocketAddr, path: &str, body: &str) -> Result<u16, String> {
         let limits = &*self.limits;
-        let address = self.platform.address();
-        if !link.as_ref().is_some_and(|(at, link)| *at == address && link.sound(limits)) {
+        if !self.link.as_ref().is_some_and(|(at, link)| *at == address && link.sound(limits)) {
             let opened = Link::open(address, limits.report_time).map_err(|e| e.to_string())?;
-            *link = Some((address, opened));
+            self.link = Some((address, opened));
         }
-        let (_, open) = link.as_mut().expect("opened above");
-        let body: String = batch.iter().map(Notice::line).collect();
-        let host = address.to_string();
-        http::put_request(&mut open.outward, "POST /reports", &host, &[], body.as_bytes());
+        let (_, open) = self.link.as_mut().expect("opened above");
+        let line = format!("POST {path}");
+        http::put_request(&mut open.outward, &line, &address.to_string(), &[], body.as_bytes());
         let by = Instant::now() + limits.report_time;
         open.send(by).map_err(|e| format!("not sent: {e:?}"))?;
         let head = open.head(limits, by).map_err(|e| format!("{e:?}"))?;
         let drained = open.body(&head, limits.body, by);
         if drained.is_err() || !head.keeps() {
-            *link = None;
+            self.link = None;
         }
-        match head.status {
+        Ok(head.status)
+    }
+}
+
+/// The platform, by its own protocol.
+pub struct ToPlatform {
+    pub platform: Arc<Platform>,
+    pub post: Post,
+}
+
+impl Reporter for ToPlatform {
+    fn report(&mut self, batch: &[Notice]) -> Result<Answer, String> {
+        let body: String = batch.iter().map(Notice::line).collect();
+        match self.post.post(self.platform.address(), "/reports", &body)? {
             204 => Ok(Answer::Heard),
             400 => Ok(Answer::Unreadable),
             other => Err(format!("answered with {other}")),
--- a/crates/sender/src/wal.rs
+++ b/crates/sender/src/wal.rs
@@ -15,10 +15,13 @@
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
 const FOLDER: &str = "journal";
 
+const LOCK_PAUSE: Duration = Duration::from_millis(10);
+
 /// Tags of notes.
 const SUBMITTED: u8 = 1;
 const NEVER_RAN: u8 = 2;
@@ -253,6 +256,19 @@
     pub held: u64,
 }
 
+/// The process before may be a moment behind its own end.
+fn take_folder(path: &Path, wait: Duration) -> io::Result<Folder> {
+    let by = Instant::now() + wait;
+    loop {
+        match Folder::open(path) {
+            Err(e) if e.kind() == ErrorKind::ResourceBusy && Instant::now() < by => {
+                thread::sleep(LOCK_PAUSE);
+            }
+            taken => return taken,
+        }
+    }
+}
+
 /// The folder of the journal: the one named, or the one in it.
 fn folder_of(path: &Path) -> PathBuf {
     let inner = path.join(FOLDER);
@@ -316,7 +332,7 @@
 impl Wal {
     /// Opens the journal, reads what an earlier life left in it, and carries over a log of the format before.
     pub fn open(folder: &Path, limits: &Limits, now: Moment) -> io::Result<Wal> {
-        let mut wal = Wal::on(Folder::open(&folder.join(FOLDER))?, limits, now)?;
+        let mut wal = Wal::on(take_folder(&folder.join(FOLDER), limits.lock_wait)?, limits, now)?;
         if let Some(carried) = texts_log::read(folder)? {
             let count = wal.carry_over(carried, now)?;
             log!("{count} texts were carried over from a log of the format before");
--- a/crates/sender/tests/sender/owed.rs
+++ b/crates/sender/tests/sender/owed.rs
@@ -11,6 +11,8 @@
 use std::io::ErrorKind;
 use std::path::Path;
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 const NOW: f64 = 1e12;
 
@@ -444,10 +446,17 @@
 fn one_folder_is_for_one_process_and_a_newer_format_is_left_alone() {
     let folder = Folder::new();
     let wal = Wal::open(&folder.state(), &limits(), now()).expect("opens");
-    let second = Wal::open(&folder.state(), &limits(), now()).err().expect("refused");
+    let at_once = Limits { lock_wait: Duration::ZERO, ..limits() };
+    let second = Wal::open(&folder.state(), &at_once, now()).err().expect("refused");
     assert_eq!(second.kind(), ErrorKind::ResourceBusy);
     assert_eq!(wal::look(&folder.state()).err().expect("refused").kind(), ErrorKind::ResourceBusy);
-    drop(wal);
+    // One that ends a moment later is waited for.
+    let late = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(50));
+        drop(wal);
+    });
+    drop(Wal::open(&folder.state(), &limits(), now()).expect("the first one is gone by then"));
+    late.join().expect("ends");
     assert!(wal::look(&folder.state()).expect("reads").owed.is_empty());
     let manifest = folder.state().join("journal/manifest");
     let mut bytes = fs::read(&manifest).expect("there");
