--- a/crates/config/src/files.rs
+++ b/crates/config/src/files.rs
@@ -72,7 +72,12 @@
         let Watched { place, mut in_force, poll } = *self;
         let (changed, changes) = bounded(1);
         // What it says is only that it is worth a look; with one waiting, another says nothing more.
-        let watch = notify::recommended_watcher(move |_| _ = changed.try_send(()));
+        let watch = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
+            // Looking is an event as well, and would be followed by the next look without end.
+            if !event.is_ok_and(|event| event.kind.is_access()) {
+                _ = changed.try_send(());
+            }
+        });
         let mut watcher = watch.ok();
         // A file that is replaced by a rename is another file: its folder is what stays.
         let folder = if place.path.is_dir() { Some(place.path.as_path()) } else { place.path.parent() };
--- a/crates/config/src/gateways.rs
+++ b/crates/config/src/gateways.rs
@@ -1,7 +1,7 @@
 //! A list of gateways, as it stands in an installation's file or in one of its own, checked whole.
 
 use crate::choice;
-use crate::reader::{Complaint, Section, read};
+use crate::reader::{Complaint, Section, read_plain};
 use indigomast::api::{Condition, KindId, ZoneId};
 use indigomast_sender::list::Listed;
 use std::collections::BTreeMap;
@@ -139,7 +139,7 @@
         let line = text.lines().count().max(1);
         return Err(vec![Complaint { file: file.into(), line, column: 1, field: String::new(), what }]);
     }
-    read(file, text, |section| read_gateways(section, words)).sound()
+    read_plain(file, text, |section| read_gateways(section, words)).sound()
 }
 
 fn whole(text: &str) -> Result<(), String> {
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -252,7 +252,11 @@
 pub struct Reader<'i> {
     file: &'i str,
     text: &'i str,
+    /// Where each line begins: a list has ten thousand places to name.
+    lines: Vec<usize>,
     describes: bool,
+    /// Whether what each field holds is told afterwards.
+    tells: bool,
     state: RefCell<State>,
 }
 
@@ -272,7 +276,17 @@
 
 /// Reads all of a file by what `read` asks for.
 pub fn read<T>(file: &str, text: &str, read: impl FnOnce(&Section) -> T) -> Read<T> {
-    let reader = Reader { file, text, describes: false, state: RefCell::default() };
+    read_all(file, text, true, read)
+}
+
+/// The same without `fields`, of which a long list would have very many.
+pub fn read_plain<T>(file: &str, text: &str, read: impl FnOnce(&Section) -> T) -> Read<T> {
+    read_all(file, text, false, read)
+}
+
+fn read_all<T>(file: &str, text: &str, tells: bool, read: impl FnOnce(&Section) -> T) -> Read<T> {
+    let lines = std::iter::once(0).chain(text.match_indices('\n').map(|(at, _)| at + 1)).collect();
+    let reader = Reader { file, text, lines, describes: false, tells, state: RefCell::default() };
     let (table, errors) = DeTable::parse_recoverable(text);
     for error in errors {
         let at = error.span().map_or(0, |span| span.start);
@@ -289,7 +303,9 @@
 
 /// The fields that `read` asks for, one of each list.
 pub fn describe<T>(read: impl FnOnce(&Section) -> T) -> Vec<Field> {
-    let reader = Reader { file: "", text: "", describes: true, state: RefCell::default() };
+    let lines = vec![0];
+    let reader =
+        Reader { file: "", text: "", lines, describes: true, tells: true, state: RefCell::default() };
     let section = Section::new(&reader, String::new(), None, 0);
     read(&section);
     drop(section);
@@ -298,9 +314,9 @@
 
 impl Reader<'_> {
     fn place(&self, offset: usize) -> (usize, usize) {
-        let before = &self.text[..self.text.floor_char_boundary(offset.min(self.text.len()))];
-        let line = before.matches('\n').count() + 1;
-        let column = before.rsplit('\n').next().map_or(0, |rest| rest.chars().count()) + 1;
+        let offset = self.text.floor_char_boundary(offset.min(self.text.len()));
+        let line = self.lines.partition_point(|start| *start <= offset);
+        let column = self.text[self.lines[line - 1]..offset].chars().count() + 1;
         (line, column)
     }
 
@@ -358,6 +374,9 @@
             let what = format!("is missing; it has to be {}", T::KIND);
             self.reader.complain(Some(self.start), self.path(name), what);
         }
+        if !self.reader.tells {
+            return read.map(|(read, _)| read);
+        }
         let value = read.as_ref().map(|(read, _)| read).or(default).map(T::show);
         let line = read.as_ref().map(|(_, at)| self.reader.place(*at).0);
         let field = Field {
--- a/crates/config/tests/lists.rs
+++ b/crates/config/tests/lists.rs
@@ -8,6 +8,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::time::Instant;
 
 struct Dice(u64);
 
@@ -296,3 +297,30 @@
     assert_eq!(in_force.seen(at(520), &files("1")), [Said::LookAgain(at(550))]);
     assert!(matches!(&in_force.seen(at(550), &files("1"))[..], [Said::Swap(_)]));
 }
+
+/// Guards against work that grows with the square of a list: each place was once counted from the file's beginning.
+#[test]
+fn ten_thousand_gateways_cost_ten_times_a_thousand() {
+    let words = Vocabulary { most: 10_000, ..words() };
+    let text = |count: usize| {
+        let gateway = |at: usize| {
+            let (third, fourth) = (at / 250, at % 250 + 1);
+            format!(
+                "[[gateways]]\nname = \"g{at}\"\naddress = \"127.0.{third}.{fourth}:9\"\ndestination = 1\n"
+            )
+        };
+        seal(&(0..count).map(gateway).collect::<String>())
+    };
+    let least = |count: usize| {
+        let text = text(count);
+        let time = || {
+            let began = Instant::now();
+            assert_eq!(read_list("", &text, &words).map(|list| list.len()), Ok(count));
+            began.elapsed()
+        };
+        (0..5).map(|_| time()).min().expect("five")
+    };
+    let (thousand, ten) = (least(1_000), least(10_000));
+    // The square would be a hundred times.
+    assert!(ten < 40 * thousand, "{thousand:?} and {ten:?}");
+}
