Products have a validity period; a gateway that leaves with a call out; payloads of others

Need: a text without X-Timeout-Ms was always refused, and no installation could bound what texts ask for; two hard cases had no test.

Change: `validity` of a product bounds the time a text asks for and stands in for it; the platform's settings have none, so that there nothing changes. `check` warns of an address that is taken. Tests: a gateway off the list keeps the call that is out, and the next of its key waits for it; any payload under a sound checksum is refused by name or read.

--- a/crates/cli/src/install.rs
+++ b/crates/cli/src/install.rs
@@ -10,6 +10,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::fs;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -98,6 +99,11 @@
         warnings
             .push("list.weights: \"exact\" has gateways sent what the list says, whatever they take".into());
     }
+    let listen = value("listen");
+    let address = listen.trim_matches('"').parse::<SocketAddr>().ok().filter(|address| address.port() != 0);
+    if let Some(Err(e)) = address.map(TcpListener::bind) {
+        warnings.push(format!("listen: {listen} can't be had now: {e}"));
+    }
     if !installation.state.exists() {
         warnings
             .push(format!("state: {} is not there yet; the run will make it", installation.state.display()));
--- a/crates/cli/tests/install.rs
+++ b/crates/cli/tests/install.rs
@@ -320,6 +320,67 @@
     _ = fs::remove_dir_all(folder);
 }
 
+/// A gateway that leaves with a call out, for a key in order: the call ends there, and the next of its key waits for that.
+#[test]
+fn a_gateway_that_leaves_with_a_call_out_keeps_its_key_waiting() {
+    let folder = folder("leaves");
+    let listeners: Vec<TcpListener> =
+        (0..2).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+    let addresses: Vec<SocketAddr> = listeners.iter().map(|l| l.local_addr().expect("bound")).collect();
+    // Each call comes with the connection on which it is to be answered.
+    let (tell, calls) = unbounded();
+    for (at, listener) in listeners.into_iter().enumerate() {
+        let tell = tell.clone();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let tell = tell.clone();
+                thread::spawn(move || {
+                    let (mut ring, limits) = (Ring::default(), Limits::of(Grant::new(64, 1024, 64.0)));
+                    while matches!(ring.fill(&mut stream), Ok(count) if count > 0) {
+                        while let Ok(Some(request)) = take_request(&mut ring, &limits) {
+                            let id = request.headers.get("x-request-id").unwrap_or_default().to_owned();
+                            _ = tell.send((at, id, stream.try_clone().expect("open")));
+                        }
+                    }
+                });
+            }
+        });
+    }
+    let next = || calls.recv_timeout(PATIENCE).expect("a call comes");
+    let path = folder.join("gateways.toml");
+    fs::write(&path, list(&[("a", addresses[0], 1, ""), ("b", addresses[1], 1, "")])).expect("writable");
+    let file = folder.join("n.toml").display().to_string();
+    let text = "name = \"n\"\nstate = \"state\"\nlisten = \"127.0.0.1:0\"\n[[products]]\nname = \"queue\"\n\
+                repeat = \"referenced\"\nin_order = true\nvalidity = \"15s\"\n[list]\nfrom = \"files\"\n\
+                files = \"gateways.toml\"\n";
+    fs::write(&file, text).expect("writable");
+    let running = Running::start(&file);
+    let hand_in = |id: &str| {
+        // Without a time of its own it has the product's.
+        let raw = format!(
+            "POST /queue HTTP/1.1\r\nConnection: close\r\nX-Request-ID: {id}\r\nIdempotency-Key: m-{id}\r\n\
+             X-Route-Key: till-7\r\nX-Envelope: dest=1\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        assert!(running.ask(&raw).starts_with("HTTP/1.1 202"));
+    };
+    hand_in("first");
+    let (at, id, mut held) = next();
+    assert_eq!(id, "first");
+    let stays = [("b", addresses[1], 1, ""), ("a", addresses[0], 1, "")][at];
+    fs::write(&path, list(&[stays])).expect("writable");
+    running.counts("lists", 1);
+    hand_in("second");
+    running.counts("taken", 2);
+    assert_eq!((running.counter("submitted"), calls.len()), (1, 0));
+    held.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("the call is not cut off");
+    let (there, id, mut stream) = next();
+    assert_eq!((there, id.as_str()), (1 - at, "second"));
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("open");
+    running.counts("delivered", 2);
+    assert_eq!(running.counter("submitted"), 2);
+    _ = fs::remove_dir_all(folder);
+}
+
 #[test]
 fn a_file_is_checked_shown_and_described_without_a_run() {
     let folder = folder("check");
--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -491,6 +491,12 @@
         });
         let sla = product.or("sla", Duration::from_secs(3), "the time within which a text is worth most");
         product.demand("sla", !sla.is_zero(), || "0 is no time".into());
+        let validity = product.or(
+            "validity",
+            Duration::from_secs(24),
+            "the longest time a text may ask for by X-Timeout-Ms, and what it has without",
+        );
+        product.demand("validity", validity >= sla, || "has to be sla or more".into());
         let repeat = product.required("repeat", Repeats::OnceOnly, "what a second run of a text would do");
         let memory = product.or(
             "memory",
@@ -513,6 +519,7 @@
             group: (!one_zone).then(|| "all".to_owned()),
             window_ms: memory.as_secs_f64() * 1000.0,
             in_order,
+            validity_ms: Some(validity.as_secs_f64() * 1000.0),
         });
     }
     top.demand("products", !products.is_empty(), || "there is none: write [[products]]".into());
--- a/crates/config/tests/installation.rs
+++ b/crates/config/tests/installation.rs
@@ -66,7 +66,7 @@
         let told = complaints(&format!("{line}{GOOD}"));
         assert!(told.first().is_some_and(|told| told.starts_with(expected)), "{line}: {told:#?}");
     }
-    let end: [(&str, &str); 14] = [
+    let end: [(&str, &str); 15] = [
         ("zone = \"b\"", "f.toml:11:8: gateways[0].zone: \"b\" is no zone; there are here"),
         ("weight = 0", "f.toml:7:1: gateways: all weights are 0: nothing could be sent anywhere"),
         (
@@ -85,6 +85,10 @@
             "[[products]]\nname = \"x\"\nrepeat = \"often\"",
             "f.toml:13:10: products[1].repeat: \"often\" is not \"resendable\", \"referenced\" or \"once-only\"",
         ),
+        (
+            "[[products]]\nname = \"x\"\nrepeat = \"resendable\"\nvalidity = \"1s\"",
+            "f.toml:14:12: products[1].validity: has to be sla or more",
+        ),
         (
             "[[kinds]]\nname = \"k\"\ntexts_per_call = 0",
             "f.toml:13:18: kinds[0].texts_per_call: has to be 1 to 1000",
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -89,6 +89,15 @@
         Ok(limits)
     }
 
+    /// How long a text is valid that asks for so many milliseconds, or for none.
+    pub fn validity_ms(&self, product: &str, asked: Option<f64>) -> Option<f64> {
+        let known = self.info.categories.iter().find(|category| category.name == product);
+        match (asked, known.and_then(|category| category.validity_ms)) {
+            (Some(asked), Some(most)) => Some(asked.min(most)),
+            (asked, most) => asked.or(most),
+        }
+    }
+
     pub fn keeps_order(&self, product: &str) -> bool {
         self.info.categories.iter().any(|category| category.name == product && category.in_order)
     }
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -546,7 +546,11 @@
             let plain = !value.is_empty() && value.bytes().all(|b| b.is_ascii_graphic());
             (plain && value.len() <= self.limits.name).then(|| value.to_owned())
         };
-        let left: u32 = get("x-timeout-ms")?.parse().ok()?;
+        let asked = match get("x-timeout-ms") {
+            Some(asked) => Some(f64::from(asked.parse::<u32>().ok()?)),
+            None => None,
+        };
+        let left = self.site.validity_ms(product, asked)?;
         let envelope = get("x-envelope")?;
         let mut fields = envelope.split([',', ';']).filter_map(|field| field.trim().split_once('='));
         let (_, dest) = fields.find(|(field, _)| field.trim() == "dest")?;
@@ -560,7 +564,7 @@
             product: product.to_owned(),
             key: optional(get("x-route-key"))?.filter(|_| self.site.keeps_order(product)),
             dest: dest.trim().parse().ok()?,
-            until_ms: Moment::as_millis(self.clock.moment(came)) + f64::from(left),
+            until_ms: Moment::as_millis(self.clock.moment(came)) + left,
         })
     }
 }
--- a/crates/sender/tests/sender/owed.rs
+++ b/crates/sender/tests/sender/owed.rs
@@ -3,7 +3,7 @@
 use crate::common::{Folder, limits};
 use indigomast::api::ZoneId;
 use indigomast::time::{Moment, Span};
-use indigomast_journal::{Durability, Fault, Simulated, Store};
+use indigomast_journal::{Durability, Entry, Fault, Journal, Simulated, Store};
 use indigomast_sender::limits::{Grant, Limits};
 use indigomast_sender::wal::{self, Owed, Report, TextInfo, Wal};
 use std::collections::BTreeMap;
@@ -470,3 +470,54 @@
     }
     assert_eq!(fs::read(&manifest).expect("there"), bytes);
 }
+
+/// Sound records with any payload at all, as another program may have left: refused by name or read, never a panic.
+#[test]
+fn payloads_of_another_program_are_refused_and_left_alone() {
+    let limits = Limits { journal: tight(Durability::Process), ..limits() };
+    let mut dice = 7u64;
+    let mut roll = move |sides: u64| {
+        dice = dice.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (dice >> 33) % sides
+    };
+    let (mut refused, mut read) = (0, 0);
+    for turn in 0..2000 {
+        // A text's own record with some bytes changed, or nothing but noise.
+        let mut wal = Wal::on(Simulated::new(), &limits, now()).expect("new");
+        wal.take(info(turn), vec![3; 20].into(), now()).expect("room");
+        wal.flush().expect("no fault is set");
+        let mut payload = Vec::new();
+        let store = wal.into_store().after_kill();
+        let mut hear = |_, entry: Entry| {
+            if let Entry::Open(bytes) = entry {
+                payload = bytes.to_vec();
+            }
+        };
+        Journal::look(store, 1400, &mut hear).expect("sound");
+        if turn % 3 == 0 {
+            payload = (0..roll(200)).map(|_| roll(256) as u8).collect();
+        } else {
+            for _ in 0..1 + roll(4) {
+                let at = roll(payload.len() as u64) as usize;
+                payload[at] = roll(256) as u8;
+            }
+        }
+        let settings = limits.journal.clone();
+        let (mut journal, _) = Journal::open(Simulated::new(), settings, 5, &mut |_, _| {}).expect("new");
+        let key = journal.begin(&payload, 100).expect("room");
+        let note: Vec<u8> = (0..roll(20)).map(|_| roll(256) as u8).collect();
+        journal.note(key, roll(5) as u8, &note);
+        journal.commit(Duration::ZERO, &mut |_, _| {}).expect("no fault is set");
+        let store = journal.into_store().after_kill();
+        let held = store.held();
+        match Wal::on(store.clone(), &limits, now()) {
+            Ok(wal) => read += usize::from(wal.owed().len() == 1),
+            Err(e) => {
+                assert!(e.to_string().contains("sound records can't be read by this program"), "{e}");
+                refused += 1;
+            }
+        }
+        assert_eq!(store.held(), held);
+    }
+    assert!(refused > 1000 && read > 20, "{refused} {read}");
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -97,6 +97,10 @@
     pub window_ms: f64,
     #[serde(default)]
     pub in_order: bool,
+    /// The longest time that a text may ask for, which it has where it asks for none. A platform's texts all ask, and
+    /// what it says of this isn't read.
+    #[serde(skip)]
+    pub validity_ms: Option<f64>,
 }
 
 #[derive(Deserialize, Clone, Copy)]
