Ends told to a file are never told by halves; a first list names its field

Cause: a write to the file of ends that failed in the middle left half a line, onto which the next try wrote its first; a list that was not there was told without the field that named it. Found by attacking the program by hand.

Change: the file is cut back to where it was; complaints about a file as a whole name list.files.

--- a/crates/config/src/ends.rs
+++ b/crates/config/src/ends.rs
@@ -50,9 +50,46 @@
     fn report(&mut self, batch: &[Notice]) -> Result<Answer, String> {
         let told = |e: std::io::Error| format!("{}: {e}", self.path.display());
         let mut file = OpenOptions::new().create(true).append(true).open(&self.path).map_err(told)?;
+        let length = file.metadata().map_err(told)?.len();
         let lines: String = batch.iter().map(line).collect();
-        file.write_all(lines.as_bytes()).map_err(told)?;
-        file.sync_data().map_err(told)?;
-        Ok(Answer::Heard)
+        let written = file.write_all(lines.as_bytes()).and_then(|()| file.sync_data());
+        if written.is_err() {
+            // Half a line would spoil the first of those that come again.
+            _ = file.set_len(length);
+        }
+        written.map(|()| Answer::Heard).map_err(told)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use indigomast::api::TextId;
+
+    fn notices() -> Vec<Notice> {
+        let told = |id: &str, report| Notice { text: TextId(1), id: id.into(), report };
+        vec![
+            told("a", Report::Undeliverable),
+            told("b", Report::Nacked { again_ms: Some(1500.2) }),
+            told("c", Report::Nacked { again_ms: None }),
+        ]
+    }
+
+    #[test]
+    fn a_line_for_each_end_and_none_by_halves() {
+        let lines: Vec<String> = notices().iter().map(line).collect();
+        assert_eq!(
+            lines,
+            [
+                "{\"end\":\"undeliverable\",\"id\":\"a\"}\n",
+                "{\"again_ms\":1501,\"end\":\"nacked\",\"id\":\"b\"}\n",
+                "{\"end\":\"nacked\",\"id\":\"c\"}\n"
+            ]
+        );
+        // A device that takes nothing, and a folder that isn't there: not heard, so told again.
+        for path in ["/dev/full", "/no/such/folder/ends"] {
+            let told = ToFile { path: path.into() }.report(&notices());
+            assert!(told.is_err_and(|e| e.starts_with(path)));
+        }
     }
 }
--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -186,7 +186,13 @@
                 (Box::new(Fixed { gateways: self.gateways }), known)
             }
             From::Files => {
-                let in_force = InForce::begin(self.lists, &self.place.look())?;
+                // A complaint about a file as a whole doesn't say which field named it.
+                let named = |complaint: Complaint| match complaint.field.is_empty() {
+                    true => Complaint { field: "list.files".into(), ..complaint },
+                    false => complaint,
+                };
+                let in_force = InForce::begin(self.lists, &self.place.look())
+                    .map_err(|all| all.into_iter().map(named).collect::<Vec<_>>())?;
                 let known = listing(0, in_force.running());
                 (Box::new(Watched { place: self.place, in_force, poll: self.poll }), known)
             }
--- a/crates/config/tests/installation.rs
+++ b/crates/config/tests/installation.rs
@@ -142,6 +142,17 @@
     assert_eq!(told.len(), 8, "{told:#?}");
 }
 
+#[test]
+fn a_first_list_that_is_not_there_is_told_with_the_field_that_names_it() {
+    let (front, _) = GOOD.split_once("[[gateways]]").expect("gateways");
+    let text = format!("{front}[list]\nfrom = \"files\"\nfiles = \"nowhere.toml\"\n");
+    let installation =
+        Installation::parse("f.toml", &text, Path::new("/base")).unwrap_or_else(|e| panic!("{e:?}"));
+    let told: Vec<String> =
+        installation.config().err().expect("refused").iter().map(Complaint::to_string).collect();
+    assert_eq!(told, ["/base/nowhere.toml: list.files: is not there"]);
+}
+
 #[test]
 fn every_field_is_described() {
     let fields = fields();
