A commit costs the same however many segments there are; check tries the state's folder

Change: the sum is kept. The folder is tried in the nearest one that is there, and undone. A test for descriptors, memory and folder beyond what the machine grants.

--- a/crates/config/src/machine.rs
+++ b/crates/config/src/machine.rs
@@ -3,6 +3,16 @@
 use crate::installation::Installation;
 use rustix::process::{Resource, getrlimit};
 use std::fs;
+use std::io;
+use std::path::Path;
+
+/// Whether a folder is there and can be written to, or could be made: tried in the nearest one that is there, and undone.
+fn can_be_made(folder: &Path) -> io::Result<()> {
+    let there = folder.ancestors().find(|folder| folder.exists()).unwrap_or(Path::new("."));
+    let probe = there.join(format!(".indigomast-check-{}", std::process::id()));
+    fs::create_dir(&probe)?;
+    fs::remove_dir(&probe)
+}
 
 /// What the machine grants; none where it doesn't say.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,8 +47,8 @@
                 most >> 20
             ));
         }
-        if installation.state.exists() && !installation.state.is_dir() {
-            wrong.push(format!("state: {} is no folder", installation.state.display()));
+        if let Err(e) = can_be_made(&installation.state) {
+            wrong.push(format!("state: {}: {e}", installation.state.display()));
         }
         wrong
     }
--- a/crates/config/tests/installation.rs
+++ b/crates/config/tests/installation.rs
@@ -1,6 +1,7 @@
 //! An installation's file: what is refused, in which words, all at once; and what it comes to.
 
 use indigomast_config::installation::fields;
+use indigomast_config::machine::Machine;
 use indigomast_config::reader::{reference, schema};
 use indigomast_config::{Complaint, Installation};
 use indigomast_sender::config::Outside;
@@ -153,6 +154,26 @@
     assert_eq!(told, ["/base/nowhere.toml: list.files: is not there"]);
 }
 
+#[test]
+fn what_the_machine_does_not_grant_is_refused() {
+    let folder = env!("CARGO_TARGET_TMPDIR");
+    let refused = |state: &str, machine: Machine| {
+        let text = GOOD.replace("\"state\"", &format!("{state:?}"));
+        let installation =
+            Installation::parse("f.toml", &text, Path::new(folder)).unwrap_or_else(|e| panic!("{e:?}"));
+        machine.refuses(&installation).join("; ")
+    };
+    let ample = Machine { descriptors: Some(1024), memory: Some(64 << 20) };
+    assert_eq!(refused("s", ample), "");
+    assert_eq!(refused("s", Machine::default()), "");
+    let few = refused("s", Machine { descriptors: Some(1023), ..ample });
+    assert_eq!(few, "limits.descriptors: 1024 are more than this process may open, 1023");
+    let small = refused("s", Machine { memory: Some(63 << 20), ..ample });
+    assert_eq!(small, "limits.memory: 64 MiB are more than this machine has, 63");
+    assert!(refused("/proc/nowhere/s", ample).starts_with("state: /proc/nowhere/s: "));
+    assert!(refused("/dev/null", ample).starts_with("state: /dev/null: "));
+}
+
 #[test]
 fn every_field_is_described() {
     let fields = fields();
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -181,6 +181,8 @@
     /// As the manifest had it at the start: a segment below it would not count.
     first: u64,
     segments: VecDeque<Segment>,
+    /// Bytes of all of them, kept so that a commit costs the same however many there are.
+    used: u64,
     file: Option<S::File>,
     items: BTreeMap<Key, Item>,
     /// Open items by the segment of their base.
@@ -326,6 +328,7 @@
             number,
             first,
             segments: VecDeque::new(),
+            used: 0,
             file: None,
             items: BTreeMap::new(),
             based: BTreeMap::new(),
@@ -431,6 +434,7 @@
             }
         }
         self.segments.push_back(Segment { number: segment, bytes: sound as u64 });
+        self.used += sound as u64;
         self.file = Some(file);
         Ok(())
     }
@@ -517,7 +521,7 @@
 
     /// Bytes of all segments.
     pub fn used(&self) -> u64 {
-        self.segments.iter().map(|segment| segment.bytes).sum()
+        self.used
     }
 
     /// What open items take, with all that is reserved for them.
@@ -712,6 +716,7 @@
                 return Err(e);
             }
             self.segments.back_mut().expect("rolled").bytes += buffer.len() as u64;
+            self.used += buffer.len() as u64;
             if self.settings.durability == Durability::Process {
                 self.sound += buffer.len() as u64;
             }
@@ -747,6 +752,7 @@
             self.store.sync_names()?;
         }
         self.segments.push_back(Segment { number, bytes: SEGMENT_HEAD as u64 });
+        self.used += SEGMENT_HEAD as u64;
         self.file = Some(file);
         self.sound = SEGMENT_HEAD as u64;
         self.spoilt = false;
@@ -803,6 +809,7 @@
         self.manifest_behind = false;
         for _ in 0..old {
             let segment = self.segments.pop_front().expect("counted");
+            self.used -= segment.bytes;
             step.retired += 1;
             // One that stays is removed at the next start: the manifest doesn't name it any more.
             _ = self.store.remove(&segment_name(segment.number));
