The measurement of a reload is a bench, and shares its stand-ins with the tests

Need: a measurement stood among the tests as an ignored one, and could not be run as the others are.

Change: crates/cli/benches/reload.rs; the servers and the running program of the tests in a module of their own.

--- a/crates/cli/tests/install.rs
+++ b/crates/cli/tests/install.rs
@@ -1,156 +1,19 @@
 //! An installation as people run it: texts served to gateways of a list that is edited meanwhile, ends told, files checked.
 
-use crossbeam_channel::{Receiver, Sender, unbounded};
+mod support;
+
+use crossbeam_channel::unbounded;
 use indigomast_config::gateways::seal;
-use indigomast_sender::http::{Request, take_request};
+use indigomast_sender::http::take_request;
 use indigomast_sender::limits::{Grant, Limits};
 use indigomast_sender::ring::Ring;
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
-
-const PATIENCE: Duration = Duration::from_secs(20);
-
-fn folder(name: &str) -> PathBuf {
-    let path =
-        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("install-{name}-{}", std::process::id()));
-    _ = fs::remove_dir_all(&path);
-    fs::create_dir_all(&path).expect("a folder");
-    path
-}
-
-fn run(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_indigomast"))
-        .args(arguments)
-        .stdin(Stdio::null())
-        .output()
-        .expect("it runs")
-}
-
-fn said(output: &Output) -> String {
-    format!("{}{}", String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr))
-}
-
-/// A server that tells of each request and answers all alike.
-struct Server {
-    address: SocketAddr,
-    came: Receiver<(Instant, Request)>,
-}
-
-impl Server {
-    fn open(status: u16) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("bound");
-        let (tell, came) = unbounded();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let tell = tell.clone();
-                thread::spawn(move || serve(stream, status, &tell));
-            }
-        });
-        Server { address, came }
-    }
-
-    fn next(&self) -> Request {
-        self.came.recv_timeout(PATIENCE).expect("a request comes").1
-    }
-}
-
-fn serve(mut stream: TcpStream, status: u16, tell: &Sender<(Instant, Request)>) {
-    let (mut ring, limits) = (Ring::default(), Limits::of(Grant::new(64, 1024, 64.0)));
-    loop {
-        while let Ok(Some(request)) = take_request(&mut ring, &limits) {
-            _ = tell.send((Instant::now(), request));
-            let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
-        }
-        if !matches!(ring.fill(&mut stream), Ok(count) if count > 0) {
-            return;
-        }
-    }
-}
-
-struct Running {
-    child: Child,
-    address: SocketAddr,
-    lines: Receiver<String>,
-}
-
-impl Running {
-    fn start(file: &str) -> Running {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_indigomast"))
-            .args(["run", file])
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("it starts");
-        let (told, lines) = unbounded();
-        let output = BufReader::new(child.stderr.take().expect("piped"));
-        thread::spawn(move || output.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
-        let mut running = Running { child, address: ([0, 0, 0, 0], 0).into(), lines };
-        let line = running.line_with("listens on ");
-        running.address = line.rsplit(' ').next().and_then(|at| at.parse().ok()).expect("an address");
-        running
-    }
-
-    fn line_with(&self, words: &str) -> String {
-        loop {
-            let line = self.lines.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("{words:?}: {e}"));
-            if line.contains(words) {
-                return line;
-            }
-        }
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
-    }
-
-    fn ask(&self, raw: &str) -> String {
-        let mut stream = TcpStream::connect(self.address).expect("it listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
-        stream.write_all(raw.as_bytes()).expect("open");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer");
-        answer
-    }
-
-    fn hand_in(&self, product: &str, id: &str, dest: u64, millis: u64) -> String {
-        self.ask(&format!(
-            "POST /{product} HTTP/1.1\r\nConnection: close\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: {millis}\r\n\
-             X-Envelope: dest={dest}\r\nContent-Length: 5\r\n\r\nhello"
-        ))
-    }
-
-    fn counter(&self, name: &str) -> u64 {
-        let answer = self.ask("GET /counters HTTP/1.1\r\nConnection: close\r\n\r\n");
-        let line = answer.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
-        line.and_then(|value| value.trim().parse().ok()).unwrap_or_else(|| panic!("no {name} in {answer}"))
-    }
-
-    fn counts(&self, name: &str, value: u64) {
-        let by = Instant::now() + PATIENCE;
-        while self.counter(name) < value && Instant::now() < by {
-            thread::sleep(Duration::from_millis(5));
-        }
-        assert_eq!(self.counter(name), value, "{name}");
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        _ = self.child.kill();
-        _ = self.child.wait();
-    }
-}
+use support::*;
 
 /// The repository's example, with free ports in place of its own.
 #[test]
@@ -237,13 +100,6 @@
     }
 }
 
-fn list(gateways: &[(&str, SocketAddr, u64, &str)]) -> String {
-    let gateway = |(name, address, dest, rest): &(&str, SocketAddr, u64, &str)| {
-        format!("[[gateways]]\nname = \"{name}\"\naddress = \"{address}\"\ndestination = {dest}\n{rest}\n")
-    };
-    seal(&gateways.iter().map(gateway).collect::<String>())
-}
-
 /// A drain in the file keeps new calls from the gateway within 1 s; a bad file, a cut one and one that takes nearly all
 /// away change nothing, and SIGHUP confirms the last.
 #[test]
@@ -438,88 +294,3 @@
     assert_eq!(fs::read_to_string(&list).expect("there"), seal("# nothing yet\n"));
     _ = fs::remove_dir_all(folder);
 }
-
-/// 10,000 gateways swapped for 10,000 others under 300 texts a second; figures on standard output. By hand:
-/// `cargo test --release -p indigomast-cli --test install -- --ignored --nocapture`.
-#[test]
-#[ignore = "a measurement"]
-fn measure_a_reload_of_ten_thousand_gateways() {
-    let folder = folder("large");
-    let gateway = Server::open(200);
-    let path = folder.join("gateways.toml");
-    let large = |turn: usize| {
-        let other = |at: usize| {
-            let (third, fourth) = (at / 250, at % 250 + 1);
-            let address = SocketAddr::from(([127, 1 + turn as u8, third as u8, fourth as u8], 9));
-            (format!("other-{turn}-{at}"), address, (2 + at % 1000) as u64)
-        };
-        let others: Vec<_> = (0..9_999).map(other).collect();
-        let mut all = vec![("g", gateway.address, 1, "")];
-        all.extend(others.iter().map(|(name, address, dest)| (name.as_str(), *address, *dest, "")));
-        list(&all)
-    };
-    fs::write(&path, large(0)).expect("writable");
-    let file = folder.join("n.toml").display().to_string();
-    let text = "name = \"n\"\nstate = \"state\"\nlisten = \"127.0.0.1:0\"\n[limits]\ngateways = 20000\n[journal]\n\
-                durability = \"process\"\n[[products]]\nname = \"notice\"\nrepeat = \"resendable\"\n\
-                [list]\nfrom = \"files\"\nfiles = \"gateways.toml\"\nmost_taken_away = 1\n";
-    fs::write(&file, text).expect("writable");
-    let running = Running::start(&file);
-    let memory = || {
-        let status = fs::read_to_string(format!("/proc/{}/status", running.child.id())).unwrap_or_default();
-        let line = |name: &str| {
-            status.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("?").trim().to_owned()
-        };
-        format!("{} at rest, {} at most", line("VmRSS:"), line("VmHWM:"))
-    };
-    println!("memory with 10,000 gateways: {}", memory());
-    let mut stream = TcpStream::connect(running.address).expect("it listens");
-    stream.set_nodelay(true).expect("set");
-    stream.set_read_timeout(Some(PATIENCE)).expect("set");
-    let began = Instant::now();
-    let (mut times, mut swaps) = (Vec::new(), Vec::new());
-    let mut next = 0;
-    for n in 0..3600u32 {
-        let due = began + Duration::from_secs_f64(f64::from(n) / 300.0);
-        thread::sleep(due.saturating_duration_since(Instant::now()));
-        if n % 900 == 450 {
-            next += 1;
-            fs::write(&path, large(next)).expect("writable");
-            swaps.push((n, Instant::now()));
-        }
-        let raw = format!(
-            "POST /notice HTTP/1.1\r\nX-Request-ID: t{n}\r\nX-Timeout-Ms: 20000\r\nX-Envelope: dest=1\r\nContent-Length: 5\r\n\r\nhello"
-        );
-        let asked = Instant::now();
-        stream.write_all(raw.as_bytes()).expect("open");
-        let mut answer = Vec::new();
-        while !answer.ends_with(b"\r\n\r\n") {
-            let mut bytes = [0; 256];
-            let count = stream.read(&mut bytes).expect("an answer");
-            assert!(count > 0, "the connection ended");
-            answer.extend(&bytes[..count]);
-        }
-        assert!(answer.starts_with(b"HTTP/1.1 202"), "{}", String::from_utf8_lossy(&answer));
-        times.push((n, asked.elapsed().as_secs_f64() * 1e3));
-    }
-    running.counts("delivered", 3600);
-    running.counts("lists", swaps.len() as u64);
-    let near = |n: u32| swaps.iter().any(|(at, _)| (*at..*at + 300).contains(&n));
-    for (name, is_near) in [("within 1 s of a swap", true), ("otherwise", false)] {
-        let mut some: Vec<f64> =
-            times.iter().filter(|(n, _)| near(*n) == is_near).map(|(_, ms)| *ms).collect();
-        some.sort_by(f64::total_cmp);
-        println!(
-            "{name}: 202 after {:.2} ms (median), {:.2} (99th), {:.2} (most)",
-            some[some.len() / 2],
-            some[some.len() * 99 / 100],
-            some[some.len() - 1]
-        );
-    }
-    println!("memory after {} swaps: {}", swaps.len(), memory());
-    let since = Instant::now();
-    fs::write(&path, large(next + 1)).expect("writable");
-    running.counts("lists", swaps.len() as u64 + 1);
-    println!("from the file to the decisions: {:.0} ms", since.elapsed().as_secs_f64() * 1e3);
-    _ = fs::remove_dir_all(folder);
-}
