--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -199,11 +199,12 @@
             From::Platform => {
                 let outside = Outside::Platform(self.platform);
                 let (name, listen, state, seed) = (self.name, self.listen, self.state, self.seed);
-                let (control, keys) = Default::default();
+                let (control, passed, keys) = Default::default();
                 return Ok(Config {
                     name,
                     listen,
                     control,
+                    passed,
                     outside,
                     state,
                     seed,
@@ -222,8 +223,8 @@
         };
         let outside = Outside::Own { source, reporter };
         let (name, listen, state, seed) = (self.name, self.listen, self.state, self.seed);
-        let (control, keys) = Default::default();
-        Ok(Config { name, listen, control, outside, state, seed, limits, site, known, keys })
+        let (control, passed, keys) = Default::default();
+        Ok(Config { name, listen, control, passed, outside, state, seed, limits, site, known, keys })
     }
 }
 
--- /dev/null
+++ b/crates/handover/src/lib.rs
@@ -0,0 +1,157 @@
+//! The steps by which a new process of a sender takes the place of the old one while texts come in.
+//!
+//! Two machines, one for each side, that are told what their process sees and say what it has to do. They guard against two
+//! owners and against none: owning is a lock that the kernel gives back when its process dies, so no step needs the
+//! other side's word. Locks, sockets, files and clocks are left to whoever drives them; `docs/design/operations.md` has the
+//! table of steps.
+//!
+//! ```
+//! use indigomast::time::{Moment, Span};
+//! use indigomast_handover::{Incumbent, Seen, Settings, Step};
+//! let mut old = Incumbent::new(Settings::default());
+//! let asked = Seen { asked: true, out: true, heard: false };
+//! let start = Moment::from_millis(0.0);
+//! assert_eq!(old.step(start, asked), Some(Step::Hold));
+//! assert_eq!(old.step(start, Seen { out: false, ..asked }), Some(Step::ShutDoor));
+//! assert_eq!(old.step(start, Seen { out: false, heard: true, ..asked }), Some(Step::Leave));
+//! ```
+
+use indigomast::time::{Moment, Span};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// How long calls that are out are waited for once nothing new goes out.
+    pub quiet: Span,
+    /// How long clients that have begun are heard out once nobody new is let in.
+    pub closing: Span,
+    /// How long a successor waits before it says that it is ready though it doesn't own.
+    pub unheard: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings { quiet: Span::millis(700), closing: Span::millis(400), unheard: Span::millis(3000) }
+    }
+}
+
+/// What the old process sees.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// A successor waits.
+    pub asked: bool,
+    /// Calls are out.
+    pub out: bool,
+    /// Every client that was let in has its answer, and none can be let in.
+    pub heard: bool,
+}
+
+/// What the old process has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing new goes out. Texts are still taken on, on connections that end with their answer.
+    Hold,
+    /// Nobody new is let in; connections at rest end.
+    ShutDoor,
+    /// Writes what it has learnt and ends. There is no way back from here.
+    Leave,
+    /// Serves as before.
+    Resume,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Stage {
+    Serving,
+    /// Leaving failed; it serves until this successor is gone or the process is told to stop.
+    Staying,
+    Quiet(Moment),
+    Closing(Moment),
+    Left,
+}
+
+/// The side of the process that owns.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Incumbent {
+    settings: Settings,
+    stage: Stage,
+}
+
+impl Incumbent {
+    pub fn new(settings: Settings) -> Incumbent {
+        Incumbent { settings, stage: Stage::Serving }
+    }
+
+    pub fn step(&mut self, now: Moment, seen: Seen) -> Option<Step> {
+        let Settings { quiet, closing, .. } = self.settings;
+        let (stage, step) = match (self.stage, seen.asked) {
+            (Stage::Left | Stage::Serving, false) | (Stage::Left | Stage::Staying, true) => return None,
+            (Stage::Staying, false) => (Stage::Serving, None),
+            (Stage::Serving, true) => (Stage::Quiet(now), Some(Step::Hold)),
+            (Stage::Quiet(_) | Stage::Closing(_), false) => (Stage::Serving, Some(Step::Resume)),
+            (Stage::Quiet(since), true) if !seen.out || now.since(since) >= quiet => {
+                (Stage::Closing(now), Some(Step::ShutDoor))
+            }
+            (Stage::Closing(since), true) if seen.heard || now.since(since) >= closing => {
+                (Stage::Left, Some(Step::Leave))
+            }
+            (Stage::Quiet(_) | Stage::Closing(_), true) => return None,
+        };
+        self.stage = stage;
+        step
+    }
+
+    /// What it has learnt can't be written, so the next one would break what was promised: it serves on.
+    pub fn cant_leave(&mut self) -> Step {
+        self.stage = Stage::Staying;
+        Step::Resume
+    }
+
+    /// Whether steps are being taken.
+    pub fn is_leaving(&self) -> bool {
+        matches!(self.stage, Stage::Quiet(_) | Stage::Closing(_) | Stage::Left)
+    }
+}
+
+/// What the new process has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Move {
+    /// Reads what is left and serves.
+    Own,
+    /// Says that it is ready: only the operators can end the old process.
+    StandBy,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Wait {
+    Since(Moment),
+    StandingBy,
+    Over,
+}
+
+/// The side of the process that waits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Successor {
+    settings: Settings,
+    wait: Wait,
+}
+
+impl Successor {
+    pub fn new(settings: Settings, now: Moment) -> Successor {
+        Successor { settings, wait: Wait::Since(now) }
+    }
+
+    /// `owns` is whether the owner's lock could be had just now.
+    pub fn step(&mut self, now: Moment, owns: bool) -> Option<Move> {
+        match self.wait {
+            Wait::Over => None,
+            _ if owns => {
+                self.wait = Wait::Over;
+                Some(Move::Own)
+            }
+            Wait::Since(since) if now.since(since) >= self.settings.unheard => {
+                self.wait = Wait::StandingBy;
+                Some(Move::StandBy)
+            }
+            Wait::Since(_) | Wait::StandingBy => None,
+        }
+    }
+}
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -26,6 +26,9 @@
     pub listen: SocketAddr,
     /// Where operators call; nowhere where there is none.
     pub control: Option<SocketAddr>,
+    /// The descriptor of a listening socket that whoever starts processes holds for all of them. Without one the sender
+    /// listens by itself, and no other process can take its place.
+    pub passed: Option<String>,
     pub outside: Outside,
     pub state: PathBuf,
     pub seed: u64,
@@ -227,7 +230,8 @@
             Ok(control) => Some(control.parse().map_err(|e| format!("ROUTER_CONTROL: {control:?}: {e}"))?),
             Err(_) => None,
         };
-        Config::read(&text, state, control).map_err(|e| format!("ROUTER_CONFIG: {e}"))
+        let config = Config::read(&text, state, control).map_err(|e| format!("ROUTER_CONFIG: {e}"))?;
+        Ok(Config { passed: env::var("ROUTER_PASSED_SOCKET").ok(), ..config })
     }
 
     pub fn parse(text: &str, state: PathBuf) -> Result<Config, Complaint> {
@@ -248,6 +252,7 @@
             name: file.name,
             listen: file.listen,
             control,
+            passed: None,
             outside: Outside::Platform(file.discovery),
             state,
             seed,
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -6,11 +6,13 @@
 use crate::counters::Counters;
 use crate::figures::{Ends, Figures};
 use crate::ids::Ids;
+use crate::intake::Intake;
 use crate::limits::Limits;
 use crate::list::{self, Listed, Listing};
 use crate::notices::Notice;
 use crate::peer::{self, Call, Part, Peer, Trunk};
 use crate::places::Places;
+use crate::succession::{Estate, Watch};
 use crate::terms::{self, Table};
 use crate::wal::{self, Kept, Report, TextInfo, Wal};
 use crate::{log, log_decision, threads};
@@ -19,8 +21,11 @@
 use indigomast::rules::Rules;
 use indigomast::time::{Moment, Span};
 use indigomast_admission::Strain;
+use indigomast_handover::{Incumbent, Seen, Step};
 use indigomast_site::Names;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::ErrorKind;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -128,6 +133,18 @@
     pub wal: Wal,
     pub seed: u64,
     pub known: Listing,
+    /// What the process before left, if it left in order.
+    pub estate: Option<Estate>,
+    /// Where another process may take over.
+    pub succession: Option<Succession>,
+}
+
+/// What it takes to let another process take over.
+pub struct Succession {
+    pub folder: PathBuf,
+    pub watch: Watch,
+    pub machine: Incumbent,
+    pub intake: Arc<Intake>,
 }
 
 struct Desk {
@@ -165,6 +182,9 @@
     orders: Vec<Order>,
     /// When the avoided endpoints were last counted.
     seen: Option<Instant>,
+    succession: Option<Succession>,
+    /// Of the list in force; none where discovery may be another one since.
+    revision: Option<u64>,
 }
 
 /// Keys as indices, forgotten once no text has them; an index never comes twice.
@@ -183,6 +203,14 @@
 }
 
 impl Keys {
+    /// Those of the process before, under their indices.
+    fn heir(left: Vec<(String, usize)>, next: usize) -> Keys {
+        let idle_since = Instant::now();
+        let idle = left.iter().map(|(key, _)| (idle_since, key.clone())).collect();
+        let known = left.into_iter().map(|(key, id)| (key, Known { id: KeyId(id), texts: 0, idle_since }));
+        Keys { known: known.collect(), next, idle }
+    }
+
     fn place(&mut self, key: &str) -> KeyId {
         let known = self.known.entry(key.to_owned()).or_insert_with(|| {
             self.next += 1;
@@ -220,6 +248,26 @@
         let ends = self.table.rows().iter().map(|(_, terms)| self.figures.product(&terms.name)).collect();
         let texts_per_call = settings.kinds.iter().map(|kind| kind.texts_per_call).collect();
         let strain = self.limits.strain;
+        let (seed, mut known, mut revision) = (self.seed, self.known.members, Some(self.known.revision));
+        let (rules, places, ids, dests, keys) = match self.estate {
+            Some(estate) => {
+                known =
+                    estate.endpoints.iter().filter(|one| one.running.is_some()).map(Listed::from).collect();
+                revision = estate.revision;
+                let Estate { endpoints, next_endpoint, dests, keys, next_key, ids, learnt, .. } = estate;
+                (
+                    Rules::heir(settings, seed, learnt),
+                    Places::heir(&endpoints, next_endpoint),
+                    Ids::heir(ids),
+                    Names::of(dests),
+                    Keys::heir(keys, next_key),
+                )
+            }
+            None => {
+                let none = Names::of(Vec::new());
+                (Rules::new(settings, seed), Places::default(), Ids::default(), none, Keys::default())
+            }
+        };
         let mut desk = Desk {
             clock: self.clock,
             limits: self.limits,
@@ -233,12 +281,12 @@
             list: self.list,
             notices: self.notices,
             wal: self.wal,
-            rules: Rules::new(settings, self.seed),
+            rules,
             texts_per_call,
-            places: Places::default(),
-            ids: Ids::default(),
-            dests: Names::of(Vec::new()),
-            keys: Keys::default(),
+            places,
+            ids,
+            dests,
+            keys,
             gates: BTreeMap::new(),
             out: BTreeMap::new(),
             unheard: BTreeMap::new(),
@@ -250,17 +298,25 @@
             stopping: None,
             orders: Vec::new(),
             seen: None,
+            succession: self.succession,
+            revision,
         };
-        desk.listed(Scope::Persisted, self.known.members);
+        desk.listed(Scope::Persisted, known);
         desk.resume();
         desk.decide();
-        desk.work(&words);
+        let left = desk.work(&words);
         desk.places.iter_mut().for_each(|(_, place)| place.retire());
+        if left {
+            // The lock goes with the process, not before: the next owner may submit what is still out here, and that is
+            // over only once this process's connections are.
+            std::mem::forget(desk.wal);
+        }
     }
 }
 
 impl Desk {
-    fn work(&mut self, words: &Receiver<Word>) {
+    /// Whether it left its place to another process.
+    fn work(&mut self, words: &Receiver<Word>) -> bool {
         loop {
             let wait = self.wake.map_or(Span::ZERO, |at| at.since(self.clock.now()));
             let mut heard: Vec<Word> = words.recv_timeout(duration(wait)).into_iter().collect();
@@ -299,13 +355,74 @@
                 self.decide();
             }
             self.count();
+            if self.hands_over(words) {
+                return true;
+            }
             if since.is_some_and(|since| self.done(since)) {
                 self.flush();
-                return;
+                return false;
             }
         }
     }
 
+    /// Takes the next step towards another process's taking over; whether that was the last one.
+    fn hands_over(&mut self, words: &Receiver<Word>) -> bool {
+        let now = self.clock.now();
+        let Some(Succession { watch, machine, intake, folder }) = &mut self.succession else { return false };
+        let asked = watch.asked();
+        let heard = machine.is_leaving() && intake.all_heard();
+        let mut step = machine.step(now, Seen { asked, out: !self.out.is_empty(), heard });
+        if step == Some(Step::Leave) {
+            let folder = folder.clone();
+            words.try_iter().for_each(|word| self.hear(word));
+            // What came in just now is decided on too, so that no wait told at the last moment is lost.
+            self.decide();
+            let written =
+                if self.flush() { self.estate().write(&folder) } else { Err(ErrorKind::StorageFull.into()) };
+            let Err(e) = written else {
+                log!("another process takes over; {} texts are owed", self.wal.owed().len());
+                return true;
+            };
+            log!("another process can't take over: {e}");
+            step = self.succession.as_mut().map(|succession| succession.machine.cant_leave());
+        }
+        let Some(Succession { intake, .. }) = &self.succession else { return false };
+        match step {
+            Some(Step::Hold) => {
+                log!("another process waits to take over");
+                intake.leaves(true);
+                self.events.push(Event::Quiet(true));
+            }
+            Some(Step::ShutDoor) => intake.shut_door(true),
+            Some(Step::Resume) => {
+                log!("no other process takes over now");
+                intake.shut_door(false);
+                intake.leaves(false);
+                self.events.push(Event::Quiet(false));
+            }
+            Some(Step::Leave) | None => {}
+        }
+        false
+    }
+
+    /// All that the next owner has to know beside the journal.
+    fn estate(&self) -> Estate {
+        let (endpoints, next_endpoint) = self.places.known();
+        let names = |names: &Names<String>| (0..names.len()).map(|at| names.name(at).clone()).collect();
+        Estate {
+            kinds: names(&self.site.kinds),
+            zones: names(&self.site.zones),
+            revision: self.revision,
+            endpoints,
+            next_endpoint,
+            dests: (0..self.dests.len()).map(|at| *self.dests.name(at)).collect(),
+            keys: self.keys.known.iter().map(|(key, known)| (key.clone(), known.id.0)).collect(),
+            next_key: self.keys.next,
+            ids: self.ids.left(),
+            learnt: self.rules.learnt(),
+        }
+    }
+
     /// Says how the sender stands, for whoever asks for it.
     fn count(&mut self) {
         self.figures.holds(self.wal.owed().len());
@@ -371,6 +488,7 @@
                 self.events.push(Event::Outcome(outcome));
             }
             Word::Listed(Some(listing)) => {
+                self.revision = Some(listing.revision);
                 let scope = if listing.complete { Scope::Complete } else { Scope::Partial };
                 self.listed(scope, listing.members);
             }
@@ -494,6 +612,7 @@
         let longest = site.references.iter().chain(&site.info.localities).map(String::len).max().unwrap_or(0);
         self.wal.reserve_for(wal::reserve(site.info.ceilings.max_attempts, longest));
         self.events.push(Event::Settings(settings));
+        self.revision = None;
         self.site = Arc::new(site);
         self.in_force.put(Arc::clone(&self.site));
         self.figures.loaded.add(1);
--- a/crates/sender/src/ids.rs
+++ b/crates/sender/src/ids.rs
@@ -46,6 +46,26 @@
         }
     }
 
+    /// Those that are over, for the process that takes this one's place: form, whether proven, and for how long.
+    pub fn left(&self) -> Vec<(String, u32, bool, f64)> {
+        let over = self.over.iter().filter_map(|(since, id)| {
+            let known = self.known.get(id).filter(|known| known.text.is_none())?;
+            Some((id.clone(), known.form, known.proven, since.elapsed().as_secs_f64() * 1000.0))
+        });
+        over.collect()
+    }
+
+    pub fn heir(left: Vec<(String, u32, bool, f64)>) -> Ids {
+        let mut ids = Ids::default();
+        let now = Instant::now();
+        for (id, form, proven, ms) in left {
+            let since = Duration::try_from_secs_f64(ms / 1000.0).ok().and_then(|ago| now.checked_sub(ago));
+            ids.known.insert(id.clone(), Known { text: None, form, proven });
+            ids.over.push_back((since.unwrap_or(now), id));
+        }
+        ids
+    }
+
     /// Forgets those that have been over for long, or that are too many.
     pub fn forget(&mut self, after: Duration, most: usize) {
         while self.over.front().is_some_and(|(since, _)| since.elapsed() > after) || self.over.len() > most {
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -16,8 +16,9 @@
 use indigomast_admission::{
     Answer, Budget, Connections, Event, Number, Purpose, Reason, Settings, State, Token, Worth,
 };
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind, PipeReader, PipeWriter, Read, Write, pipe};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,6 +36,13 @@
     pub budget: Budget,
     pub lobby: Lobby,
     closed: AtomicBool,
+    /// Another process is about to take over: connections end with their answer.
+    leaving: AtomicBool,
+    /// Whether nobody is let in, and whether the thread that lets in has seen that.
+    shut: AtomicBool,
+    seen_shut: AtomicBool,
+    /// Wakes that thread, where it waits for a socket that is not its own.
+    wake: (PipeReader, PipeWriter),
 }
 
 /// The connections of clients that are open. Who gets a place and who makes room is decided by
@@ -125,6 +133,11 @@
         idle.into_iter().for_each(|number| seats.shut(number));
     }
 
+    /// Connections that have a place.
+    fn open(&self) -> usize {
+        self.lock().streams.len()
+    }
+
     fn is_shut(&self, number: Number) -> bool {
         self.lock().streams.get(&number).is_none_or(|(_, shut)| *shut)
     }
@@ -166,40 +179,115 @@
         decider: Mailbox,
         budget: Budget,
     ) -> io::Result<Intake> {
-        let (stopping, closed) = Default::default();
+        let (stopping, closed, leaving, shut, seen_shut) = Default::default();
+        let wake = pipe()?;
         let clients = Clients::new(clock, limits.connections.clone());
         let lobby = Lobby::new(limits.descriptors)?;
-        Ok(Intake { clock, limits, counters, site, decider, stopping, clients, budget, lobby, closed })
+        Ok(Intake {
+            clock,
+            limits,
+            counters,
+            site,
+            decider,
+            stopping,
+            clients,
+            budget,
+            lobby,
+            closed,
+            leaving,
+            shut,
+            seen_shut,
+            wake,
+        })
     }
 
-    /// Gives the address back; whoever waits for a connection there is woken by one.
-    pub fn close(&self, address: SocketAddr) {
+    /// Gives the address back; whoever waits for a connection there is woken by one. One that is shared is left as it is.
+    pub fn close(&self, address: Option<SocketAddr>) {
         self.closed.store(true, Ordering::Relaxed);
-        _ = TcpStream::connect_timeout(&address, self.limits.linger);
+        match address {
+            Some(address) => _ = TcpStream::connect_timeout(&address, self.limits.linger),
+            None => self.wake(),
+        }
+    }
+
+    fn wake(&self) {
+        // Full, it wakes as well.
+        _ = (&self.wake.1).write(&[0]);
+    }
+
+    /// Whether connections end with their answer.
+    pub fn leaves(&self, on: bool) {
+        self.leaving.store(on, Ordering::Relaxed);
+    }
+
+    /// Lets nobody in any more, and ends those who rest; or lets in as before.
+    pub fn shut_door(&self, on: bool) {
+        self.seen_shut.store(false, Ordering::SeqCst);
+        self.shut.store(on, Ordering::SeqCst);
+        self.wake();
+        if on {
+            self.clients.shut_idle();
+        }
+    }
+
+    /// Whether the door is shut and every client that came in before has its answer.
+    pub fn all_heard(&self) -> bool {
+        let shut = self.seen_shut.load(Ordering::SeqCst);
+        shut && self.clients.open() == 0 && self.budget.used(Purpose::Door) == 0
+    }
+
+    /// Takes connections from a socket that other processes share, as long as this one is to.
+    fn share(self: &Arc<Intake>, listener: &TcpListener, overflow: &Sender<Comer>) {
+        let beat = Timespec { tv_sec: 0, tv_nsec: self.limits.rest_beat.subsec_nanos().into() };
+        while !self.is_closed() {
+            let shut = self.shut.load(Ordering::SeqCst);
+            self.seen_shut.store(shut, Ordering::SeqCst);
+            let mut fds = vec![PollFd::new(&self.wake.0, PollFlags::IN)];
+            fds.extend((!shut).then(|| PollFd::new(listener, PollFlags::IN)));
+            _ = poll(&mut fds, Some(&beat));
+            if !fds[0].revents().is_empty() {
+                _ = (&self.wake.0).read(&mut [0; 64]);
+                continue;
+            }
+            if shut {
+                continue;
+            }
+            match listener.accept() {
+                Ok((stream, _)) => self.welcome(stream, overflow),
+                // Another process was faster.
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                Err(e) => self.not_taken(&e),
+            }
+        }
+    }
+
+    fn not_taken(&self, e: &io::Error) {
+        if is_shortage(e) {
+            self.counters.no_descriptor.add(1);
+            self.clients.make_room();
+        }
+        log!("no connection can be taken: {e}");
+        thread::sleep(self.limits.accept_pause);
     }
 
     /// Takes connections for the sender's whole life.
-    pub fn run(self: Arc<Intake>, listener: TcpListener) {
+    pub fn run(self: Arc<Intake>, listener: TcpListener, shared: bool) {
         // Nobody waits between this thread and the door: whoever is handed over is in the door's hand.
         let (overflow, comers) = bounded(0);
         let door = Door::new(Arc::clone(&self));
         if let Err(e) = threads::spawn("door", self.limits.stack, move || door.run(&comers)) {
             return log!("no thread for the door: {e}");
         }
+        if shared {
+            return self.share(&listener, &overflow);
+        }
         for stream in listener.incoming() {
             if self.is_closed() {
                 return;
             }
             match stream {
                 Ok(stream) => self.welcome(stream, &overflow),
-                Err(e) => {
-                    if is_shortage(&e) {
-                        self.counters.no_descriptor.add(1);
-                        self.clients.make_room();
-                    }
-                    log!("no connection can be taken: {e}");
-                    thread::sleep(self.limits.accept_pause);
-                }
+                Err(e) => self.not_taken(&e),
             }
         }
     }
@@ -420,7 +508,7 @@
     ) -> Next {
         let stopping = self.stopping.load(Ordering::Relaxed);
         let shut = self.clients.is_shut(number);
-        let close = request.close || stopping || shut;
+        let close = request.close || stopping || shut || self.leaving.load(Ordering::Relaxed);
         let path = request.path.split(['?', '#']).next().unwrap_or_default();
         let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
         let site = self.site.get();
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod places;
 pub mod platform;
 pub mod ring;
+pub mod succession;
 pub mod terms;
 pub mod texts_log;
 pub mod threads;
@@ -37,13 +38,16 @@
 use crossbeam_channel::{Receiver, bounded};
 use figures::Figures;
 use indigomast_admission::Budget;
+use indigomast_handover::{Incumbent, Move, Successor};
+use limits::Limits;
 use list::Source;
 use notices::Reporter;
 use platform::Platform;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::io::{PipeWriter, pipe};
+use std::io::{self, ErrorKind, PipeWriter, pipe};
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -60,6 +64,8 @@
     stopper: Stopper,
     reloader: Reloader,
     ended: Receiver<threads::Ended>,
+    /// Whether the socket for clients is shared with other processes, one of which may take over.
+    shared: bool,
     /// Callers at the second address are served as long as this is there.
     _control: Option<PipeWriter>,
 }
@@ -143,28 +149,73 @@
 }
 
 impl Sender {
+    /// Starts at once; where another process owns the journal and lets go of it, once it has.
+    ///
+    /// # Errors
+    ///
+    /// Which field of the configuration names what can't be had.
     pub fn start(config: Config) -> Result<Sender, String> {
-        let Config { listen, control, outside, state, seed, limits, mut site, known, keys, .. } = config;
+        Sender::start_unless(config, &mut || false)
+    }
+
+    /// The same, but gives up waiting for another process as soon as it is told to.
+    pub fn start_unless(config: Config, told: &mut dyn FnMut() -> bool) -> Result<Sender, String> {
+        let Config { listen, control, passed, outside, state, seed, limits, mut site, known, keys, .. } =
+            config;
         let clock = Clock::start();
-        let mut wal = wal::Wal::open(&state, &limits, clock.now())
-            .map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
-        let listener = TcpListener::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
-        // The standard library asks for 128; asked again, the kernel takes the new length over.
-        rustix::net::listen(&listener, limits.backlog).map_err(|e| format!("listen: {listen}: {e}"))?;
-        let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+        let counters = Arc::<Counters>::default();
+        let figures = Arc::<Figures>::default();
+        let ready = Arc::<AtomicBool>::default();
+        let (decider, words) = bounded(limits.mailbox);
+        let (over, ended) = bounded(8);
         let callers = match control {
             Some(at) => Some(TcpListener::bind(at).map_err(|e| format!("control: {at}: {e}"))?),
             None => None,
         };
-        let counters = Arc::<Counters>::default();
-        let figures = Arc::<Figures>::default();
+        let passed = match passed {
+            Some(number) => {
+                Some(succession::passed_socket(&number).map_err(|e| format!("ROUTER_PASSED_SOCKET: {e}"))?)
+            }
+            None => None,
+        };
+        let control = match callers {
+            Some(listener) => {
+                let (ends, alive) = pipe().map_err(|e| format!("control: {e}"))?;
+                let desk = control::Desk {
+                    limits: control::bounds(&limits),
+                    figures: Arc::clone(&figures),
+                    ready: Arc::clone(&ready),
+                    decider: decider.clone(),
+                };
+                threads::actor("control", limits.stack, &over, move || desk.run(listener, ends))
+                    .map_err(|e| format!("no thread: {e}"))?;
+                Some(alive)
+            }
+            None => None,
+        };
+        let complain = |e: io::Error| format!("ROUTER_STATE: {}: {e}", state.display());
+        let (shared, mut wal) = match &passed {
+            Some(_) => (true, succeed(&state, &limits, clock, &ready, told)?),
+            None => (false, wal::Wal::open(&state, &limits, clock.now()).map_err(complain)?),
+        };
+        let estate = succession::Estate::take(&state).filter(|estate| {
+            let same = |names: &indigomast_site::Names<String>, left: &[String]| {
+                names.len() == left.len() && left.iter().enumerate().all(|(at, name)| names.name(at) == name)
+            };
+            same(&site.kinds, &estate.kinds) && same(&site.zones, &estate.zones)
+        });
+        let listener = match passed {
+            Some(listener) => listener,
+            None => TcpListener::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?,
+        };
+        // The standard library asks for 128; asked again, the kernel takes the new length over.
+        rustix::net::listen(&listener, limits.backlog).map_err(|e| format!("listen: {listen}: {e}"))?;
+        let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
         let table = decider::settle(&mut wal, &mut site, &figures);
         let (limits, in_force) = (Arc::new(limits), Arc::new(InForce::new(site)));
         let site = in_force.get();
-        let (decider, words) = bounded(limits.mailbox);
         let (list, asks) = bounded(limits.mailbox);
         let (notices, inbox) = bounded(limits.texts);
-        let (over, ended) = bounded(8);
         let threadless = |e: std::io::Error| format!("no thread: {e}");
         let stack = limits.stack;
 
@@ -177,7 +228,10 @@
                     platform: Arc::clone(&there),
                     site: Arc::clone(&site),
                     limits: Arc::clone(&limits),
-                    revision: known.revision,
+                    revision: match &estate {
+                        Some(estate) => estate.revision,
+                        None => Some(known.revision),
+                    },
                 };
                 let post = notices::Post::new(Arc::clone(&limits));
                 (Box::new(actor), Box::new(notices::ToPlatform { platform: there, post }))
@@ -186,22 +240,6 @@
         let teller = list::Teller::new(decider.clone(), Arc::clone(&counters));
         threads::actor("list", stack, &over, move || source.run(asks, teller)).map_err(threadless)?;
 
-        let ready = Arc::<AtomicBool>::default();
-        let control = match callers {
-            Some(listener) => {
-                let (ends, alive) = pipe().map_err(|e| format!("control: {e}"))?;
-                let desk = control::Desk {
-                    limits: control::bounds(&limits),
-                    figures: Arc::clone(&figures),
-                    ready: Arc::clone(&ready),
-                    decider: decider.clone(),
-                };
-                threads::actor("control", stack, &over, move || desk.run(listener, ends))
-                    .map_err(threadless)?;
-                Some(alive)
-            }
-            None => None,
-        };
         let reloader = Reloader {
             platform,
             list: list.clone(),
@@ -217,12 +255,31 @@
 
         let budget = Budget::new(limits.descriptors, limits.shares);
         let trunk = peer::Trunk::new(&limits, &counters, &figures, &decider, &site, &budget);
+        let intake = intake::Intake::new(
+            clock,
+            Arc::clone(&limits),
+            Arc::clone(&counters),
+            in_force,
+            decider.clone(),
+            budget,
+        )
+        .map_err(|e| format!("no way to wait for clients: {e}"))?;
+        let intake = Arc::new(intake);
+        let succession = match shared {
+            true => Some(decider::Succession {
+                watch: succession::Watch::new(&state, limits.asked_beat).map_err(complain)?,
+                machine: Incumbent::new(limits.handover),
+                intake: Arc::clone(&intake),
+                folder: state,
+            }),
+            false => None,
+        };
         let actor = decider::Decider {
             clock,
             limits: Arc::clone(&limits),
             counters: Arc::clone(&counters),
             figures: Arc::clone(&figures),
-            site: Arc::clone(&in_force),
+            site: Arc::clone(&intake.site),
             table,
             trunk: Arc::new(trunk),
             list,
@@ -230,22 +287,20 @@
             wal,
             seed,
             known,
+            estate,
+            succession,
         };
         threads::actor("decider", limits.decider_stack, &over, move || actor.run(words))
             .map_err(threadless)?;
 
-        let intake =
-            intake::Intake::new(clock, limits, Arc::clone(&counters), in_force, decider.clone(), budget)
-                .map_err(|e| format!("no way to wait for clients: {e}"))?;
-        let intake = Arc::new(intake);
         let waits = Arc::clone(&intake);
         threads::actor("lobby", stack, &over, move || waits.lobby.run(&waits)).map_err(threadless)?;
         let stopping = Arc::clone(&intake.stopping);
         let door = Arc::clone(&intake);
-        threads::actor("intake", stack, &over, move || door.run(listener)).map_err(threadless)?;
+        threads::actor("intake", stack, &over, move || door.run(listener, shared)).map_err(threadless)?;
         ready.store(true, Ordering::Relaxed);
         let stopper = Stopper { decider, stopping, ready, intake };
-        Ok(Sender { counters, figures, address, stopper, reloader, ended, _control: control })
+        Ok(Sender { counters, figures, address, stopper, reloader, ended, shared, _control: control })
     }
 
     pub fn stopper(&self) -> Stopper {
@@ -263,14 +318,17 @@
             let asked = self.stopper.stopping.load(Ordering::Relaxed);
             match ended {
                 threads::Ended { name, panicked: true } => return Err(format!("{name} panicked")),
-                threads::Ended { name: "decider", .. } if asked => {
+                threads::Ended { name: "decider", .. } if asked || self.shared => {
                     let intake = &self.stopper.intake;
-                    intake.close(self.address);
+                    self.stopper.ready.store(false, Ordering::Relaxed);
+                    intake.close((!self.shared).then_some(self.address));
                     let others = || self.ended.recv_timeout(intake.limits.request_time).ok();
                     while others().is_some_and(|ended| ended.name != "intake") {}
                     return Ok(());
                 }
-                threads::Ended { name, .. } if !asked => return Err(format!("{name} ended unasked")),
+                threads::Ended { name, .. } if !asked && !self.shared => {
+                    return Err(format!("{name} ended unasked"));
+                }
                 // Those that work for the decider may end a moment before it.
                 _ => {}
             }
@@ -278,6 +336,40 @@
     }
 }
 
+/// Waits until the journal is this process's, asking whoever has it to let go of it.
+fn succeed(
+    state: &Path,
+    limits: &Limits,
+    clock: Clock,
+    ready: &AtomicBool,
+    told: &mut dyn FnMut() -> bool,
+) -> Result<wal::Wal, String> {
+    let complain = |e: io::Error| format!("ROUTER_STATE: {}: {e}", state.display());
+    let at_once = Limits { lock_wait: Duration::ZERO, ..limits.clone() };
+    let (mut machine, mut asking) = (Successor::new(limits.handover, clock.now()), None);
+    loop {
+        let owned = match wal::Wal::open(state, &at_once, clock.now()) {
+            Err(e) if e.kind() == ErrorKind::ResourceBusy => None,
+            opened => Some(opened.map_err(complain)?),
+        };
+        if asking.is_none() && owned.is_none() {
+            asking = succession::Asking::begin(state).map_err(complain)?;
+        }
+        let step = machine.step(clock.now(), owned.is_some());
+        if let (Some(Move::Own), Some(wal)) = (step, owned) {
+            return Ok(wal);
+        }
+        if step == Some(Move::StandBy) {
+            log!("the process before doesn't let go of the journal; its end is waited for");
+            ready.store(true, Ordering::Relaxed);
+        }
+        if told() {
+            return Err("told to stop while it waited for the process before".into());
+        }
+        std::thread::sleep(limits.heir_beat);
+    }
+}
+
 /// The daemon: settings from the environment, read again at SIGHUP, an end by SIGTERM or SIGINT, counters at the
 /// exit.
 pub fn run() -> Result<(), String> {
@@ -287,11 +379,24 @@
     let (name, stack) = (config.name.clone(), config.limits.stack);
     log::Sink::new("indigomastd", log::Format::Plain, config.limits.log_lines_a_second)
         .install(LevelFilter::Warn);
-    let sender = Sender::start(config)?;
+    // What is told while another process is waited for: an end is an end, and files are read once this one owns.
+    let (mut stop, mut read_again) = (false, false);
+    let mut told = || {
+        for signal in signals.pending() {
+            read_again |= signal == SIGHUP;
+            stop |= signal != SIGHUP;
+        }
+        stop
+    };
+    let sender = match Sender::start_unless(config, &mut told) {
+        Err(_) if stop => return Ok(()),
+        started => started?,
+    };
     log!("{name} listens on {}", sender.address);
     let (counters, stopper, reloader) = (Arc::clone(&sender.counters), sender.stopper(), sender.reloader());
     let watch = move || {
-        for signal in signals.forever() {
+        let missed = read_again.then_some(SIGHUP);
+        for signal in missed.into_iter().chain(signals.forever()) {
             match signal {
                 SIGHUP => match Config::from_env() {
                     Ok(config) => match reloader.reload(config) {
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -2,6 +2,7 @@
 
 use indigomast::time::Span;
 use indigomast_admission::{Network, Prefixes, Purpose, Settings, Shares, StrainSettings};
+use indigomast_handover::Settings as HandoverSettings;
 use indigomast_journal::Durability;
 use serde::Deserialize;
 use std::time::Duration;
@@ -169,6 +170,11 @@
     /// An order is carried out within this or not at all; by so much later its answer is there.
     pub order_time: Duration,
     pub order_slack: Duration,
+    /// The steps by which another process takes over, how often the owner looks whether one waits, and how often that
+    /// one tries.
+    pub handover: HandoverSettings,
+    pub asked_beat: Duration,
+    pub heir_beat: Duration,
     /// Terms of products, those in force and those before, that a process can tell apart.
     pub terms: usize,
     /// How often it is counted which endpoints are avoided.
@@ -294,6 +300,9 @@
             order_beat: Duration::from_millis(3),
             order_time: Duration::from_millis(600),
             order_slack: Duration::from_millis(200),
+            handover: HandoverSettings::default(),
+            asked_beat: Duration::from_millis(50),
+            heir_beat: Duration::from_millis(3),
             terms: 1024,
             sight_beat: Duration::from_millis(200),
             write_time: Duration::from_millis(300),
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -152,7 +152,8 @@
     pub platform: Arc<Platform>,
     pub site: Arc<Site>,
     pub limits: Arc<Limits>,
-    pub revision: u64,
+    /// Of the list that is known; none where discovery may be another one now.
+    pub revision: Option<u64>,
 }
 
 impl Source for List {
@@ -160,7 +161,7 @@
     fn run(self: Box<Self>, asks: Receiver<Ask>, teller: Teller) {
         let List { platform, site, limits, revision } = *self;
         let unasked = !site.info.decode().must_subscribe;
-        let (revision, watch) = (Mutex::new(Some(revision)), Mutex::default());
+        let (revision, watch) = (Mutex::new(revision), Mutex::default());
         let desk = Desk { platform, site, limits, teller, revision, watch, unasked };
         let desk = Arc::new(desk);
         if unasked {
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -2,8 +2,9 @@
 
 use crate::list::Listed;
 use crate::peer::Ask;
+use crate::succession::Known;
 use crossbeam_channel::Sender;
-use indigomast::api::{EndpointId, KindId, ZoneId};
+use indigomast::api::{Condition, EndpointId, KindId, ZoneId};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -13,6 +14,9 @@
     pub address: Option<SocketAddr>,
     pub kind: KindId,
     pub zone: ZoneId,
+    pub dest: u64,
+    pub units: f64,
+    pub condition: Condition,
     pub peer: Option<Sender<Ask>>,
     /// Submits without an outcome.
     pub out: usize,
@@ -44,16 +48,71 @@
         if at == next {
             self.next += 1;
         }
-        let Listed { kind, zone, .. } = *member;
+        let Listed { kind, zone, dest, units, condition, .. } = *member;
         let new = || {
             let name = member.name.clone();
-            Place { name, address: None, kind, zone, peer: None, out: 0, off_since: None }
+            Place {
+                name,
+                address: None,
+                kind,
+                zone,
+                dest,
+                units,
+                condition,
+                peer: None,
+                out: 0,
+                off_since: None,
+            }
         };
         let place = self.places.entry(at).or_insert_with(new);
         place.off_since = None;
+        (place.dest, place.units, place.condition) = (dest, units, condition);
         (at, place)
     }
 
+    /// All of them, for the process that takes this one's place.
+    pub fn known(&self) -> (Vec<Known>, usize) {
+        let known = self.places.iter().map(|(at, place)| Known {
+            at: at.0,
+            name: place.name.clone(),
+            address: place.address,
+            dest: place.dest,
+            kind: place.kind,
+            zone: place.zone,
+            units: place.units,
+            running: place.off_since.is_none().then_some(place.condition == Condition::Running),
+        });
+        (known.collect(), self.next)
+    }
+
+    /// Those of the process before, under their indices. What is listed of them is told anew.
+    pub fn heir(known: &[Known], next: usize) -> Places {
+        let mut places = Places { next, ..Places::default() };
+        for one in known {
+            let at = EndpointId(one.at);
+            let (name, condition) = (one.name.clone(), one.condition());
+            let Known { address, kind, zone, dest, units, .. } = *one;
+            let place = Place {
+                name,
+                address,
+                kind,
+                zone,
+                dest,
+                units,
+                condition,
+                peer: None,
+                out: 0,
+                off_since: None,
+            };
+            places.by_name.insert(one.name.clone(), at);
+            places.places.insert(at, place);
+            if one.running.is_none() {
+                places.leaves(at);
+            }
+        }
+        places
+    }
+
     pub fn get(&mut self, at: EndpointId) -> Option<&mut Place> {
         self.places.get_mut(&at)
     }
--- /dev/null
+++ b/crates/sender/src/succession.rs
@@ -0,0 +1,170 @@
+//! How one process of a sender takes the place of another: locks, the passed socket, and what the old one leaves.
+//!
+//! The steps are those of [`indigomast_handover`]; this is what they look like on a Unix system. The old process sees that
+//! a successor waits by a lock on a file of its own; owning is the lock on the journal. What the old one has learnt
+//! goes over in a file that is written and read under that lock only.
+
+use crate::list::Listed;
+use indigomast::api::{Condition, KindId, ZoneId};
+use indigomast::rules::Learnt;
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use serde::{Deserialize, Serialize};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+const NEXT: &str = "next";
+const ESTATE: &str = "estate";
+const ESTATE_NEW: &str = "estate.new";
+
+/// Before the checksum: which form the rest has. A successor of another form starts as after a kill.
+const FORM: u32 = 1;
+
+/// The socket for clients that whoever starts processes holds for all of them.
+///
+/// # Errors
+///
+/// The number is none of a listening socket of this process.
+pub fn passed_socket(number: &str) -> Result<TcpListener, String> {
+    let complain = |what: String| format!("{number:?}: {what}");
+    let fd: i32 = number.trim().parse().map_err(|_| complain("is no descriptor".into()))?;
+    // The standard library takes over a bare number only where nobody can check it; this asks the kernel for a copy.
+    let own = pidfd_open(getpid(), PidfdFlags::empty()).map_err(|e| complain(e.to_string()))?;
+    let copy = pidfd_getfd(own, fd, PidfdGetfdFlags::empty()).map_err(|e| complain(e.to_string()))?;
+    if !rustix::net::sockopt::socket_acceptconn(&copy).unwrap_or(false) {
+        return Err(complain("nobody listens on it".into()));
+    }
+    // Another process may take what this one was woken for.
+    let listener = TcpListener::from(copy);
+    listener.set_nonblocking(true).map_err(|e| complain(e.to_string()))?;
+    Ok(listener)
+}
+
+/// The lock by which a successor says that it waits. Given back when it is dropped, or by the end of the process.
+pub struct Asking(#[expect(dead_code, reason = "held, not read")] File);
+
+fn next_file(folder: &Path) -> io::Result<File> {
+    OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(NEXT))
+}
+
+impl Asking {
+    /// `None` while another waits, or while the owner looks.
+    pub fn begin(folder: &Path) -> io::Result<Option<Asking>> {
+        let file = next_file(folder)?;
+        Ok(file.try_lock().is_ok().then_some(Asking(file)))
+    }
+}
+
+/// The owner's look at that lock.
+pub struct Watch {
+    file: File,
+    beat: Duration,
+    looked: Option<Instant>,
+    asked: bool,
+}
+
+impl Watch {
+    pub fn new(folder: &Path, beat: Duration) -> io::Result<Watch> {
+        Ok(Watch { file: next_file(folder)?, beat, looked: None, asked: false })
+    }
+
+    /// Whether a successor waits, as of the last look; one is taken every beat.
+    pub fn asked(&mut self) -> bool {
+        if self.looked.is_none_or(|looked| looked.elapsed() >= self.beat) {
+            self.looked = Some(Instant::now());
+            // Shared, so that it stands in nobody's way for longer than this.
+            self.asked = self.file.try_lock_shared().is_err();
+            if !self.asked {
+                _ = self.file.unlock();
+            }
+        }
+        self.asked
+    }
+}
+
+/// An endpoint as the old process knew it.
+#[derive(Serialize, Deserialize)]
+pub struct Known {
+    pub at: usize,
+    pub name: String,
+    pub address: Option<SocketAddr>,
+    pub dest: u64,
+    pub kind: KindId,
+    pub zone: ZoneId,
+    pub units: f64,
+    /// None where the list names it no more.
+    pub running: Option<bool>,
+}
+
+impl Known {
+    pub fn condition(&self) -> Condition {
+        match self.running {
+            Some(true) => Condition::Running,
+            Some(false) => Condition::Stopping,
+            None => Condition::Deleted,
+        }
+    }
+}
+
+impl From<&Known> for Listed {
+    fn from(known: &Known) -> Listed {
+        let Known { address, dest, kind, zone, units, .. } = *known;
+        Listed { name: known.name.clone(), address, dest, kind, zone, units, condition: known.condition() }
+    }
+}
+
+/// All that a process knows beside the journal, under the indices that it has given.
+#[derive(Serialize, Deserialize)]
+pub struct Estate {
+    /// In their order in the settings, which the indices below count.
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+    /// Of the list, if it came from the discovery that is in force.
+    pub revision: Option<u64>,
+    pub endpoints: Vec<Known>,
+    pub next_endpoint: usize,
+    pub dests: Vec<u64>,
+    pub keys: Vec<(String, usize)>,
+    pub next_key: usize,
+    /// Ids of texts that are over: form, whether it was proven, and for how many milliseconds.
+    pub ids: Vec<(String, u32, bool, f64)>,
+    pub learnt: Learnt,
+}
+
+impl Estate {
+    /// Leaves it to the next owner.
+    pub fn write(&self, folder: &Path) -> io::Result<()> {
+        let payload = postcard::to_stdvec(self).map_err(io::Error::other)?;
+        let path = folder.join(ESTATE_NEW);
+        let mut file = File::create(&path)?;
+        let head = [FORM.to_le_bytes(), crc32fast::hash(&payload).to_le_bytes()].concat();
+        let written = file.write_all(&head).and_then(|()| file.write_all(&payload));
+        let moved = written.and_then(|()| fs::rename(&path, folder.join(ESTATE)));
+        if moved.is_err() {
+            // On a full disk it would only take more room.
+            _ = fs::remove_file(&path);
+        }
+        moved
+    }
+
+    /// Takes what the last owner left, if it left in order and to a process like this one.
+    pub fn take(folder: &Path) -> Option<Estate> {
+        let path = folder.join(ESTATE);
+        let bytes = fs::read(&path).ok()?;
+        // Whatever becomes of it, it is of no use a second time.
+        remove(path);
+        let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
+        let payload = bytes.get(8..)?;
+        (word(0)? == FORM && word(4)? == crc32fast::hash(payload)).then_some(())?;
+        postcard::from_bytes(payload).ok()
+    }
+}
+
+fn remove(path: PathBuf) {
+    match fs::remove_file(&path) {
+        Err(e) if e.kind() != ErrorKind::NotFound => crate::log!("{}: {e}", path.display()),
+        _ => {}
+    }
+}
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -9,6 +9,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -219,15 +220,31 @@
         Daemon::of(command)
     }
 
-    fn of(mut command: Command) -> Daemon {
+    /// With this socket for clients, which other processes share. It may have to wait before it listens there.
+    pub fn sharing(config: &Value, folder: &Folder, socket: &TcpListener) -> Daemon {
+        let plain = command(config, folder);
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "exec \"$0\" 4<&0 </dev/null"]).arg(plain.get_program());
+        command.envs(plain.get_envs().filter_map(|(name, value)| Some((name, value?))));
+        command.env("ROUTER_PASSED_SOCKET", "4");
+        command.stdin(Stdio::from(OwnedFd::from(socket.try_clone().expect("a copy"))));
+        command.stdout(Stdio::null()).stderr(Stdio::piped());
+        Daemon::begin(command, socket.local_addr().expect("bound"))
+    }
+
+    fn of(command: Command) -> Daemon {
+        let mut daemon = Daemon::begin(command, ([127, 0, 0, 1], 0).into());
+        let line = daemon.line_with("listens on ");
+        daemon.address = line.rsplit(' ').next().and_then(|at| at.parse().ok()).expect("an address");
+        daemon
+    }
+
+    fn begin(mut command: Command, address: SocketAddr) -> Daemon {
         let mut child = command.spawn().expect("the program starts");
         let (told, lines) = unbounded();
         let output = BufReader::new(child.stderr.take().expect("piped"));
         thread::spawn(move || output.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
-        let mut daemon = Daemon { child, address: ([127, 0, 0, 1], 0).into(), lines };
-        let line = daemon.line_with("listens on ");
-        daemon.address = line.rsplit(' ').next().and_then(|at| at.parse().ok()).expect("an address");
-        daemon
+        Daemon { child, address, lines }
     }
 
     /// Reads on in the log until a line holds these words.
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -6,3 +6,4 @@
 mod owed;
 mod parts;
 mod sockets;
+mod succession;
--- a/crates/sender/tests/sender/operations.rs
+++ b/crates/sender/tests/sender/operations.rs
@@ -17,7 +17,7 @@
 }
 
 /// One that was free a moment ago: the file has to name it before the program listens.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
 }
 
@@ -59,7 +59,7 @@
         let by = Instant::now() + PATIENCE;
         while self.figure(name) != Some(value) {
             assert!(Instant::now() < by, "{name} is {:?}, not {value}", self.figure(name));
-            std::thread::yield_now();
+            std::thread::sleep(Duration::from_millis(5));
         }
     }
 
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -277,6 +277,8 @@
             wal,
             seed: 1,
             known,
+            estate: None,
+            succession: None,
         };
         // Both are in the mailbox before it is looked into.
         let answers: Vec<_> = [(first, &b"one"[..]), (second, b"two")]
@@ -336,6 +338,8 @@
         wal,
         seed: 1,
         known,
+        estate: None,
+        succession: None,
     };
     let work = thread::spawn(move || actor.run(words));
     let hand_in = |id: usize, product: &str| {
--- /dev/null
+++ b/crates/sender/tests/sender/succession.rs
@@ -0,0 +1,222 @@
+//! One process takes the place of another: the real program, two of it, and one socket for clients.
+
+use crate::common::*;
+use crate::operations::free_address;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+struct World {
+    endpoint: Host,
+    _discovery: Host,
+    config: Value,
+    folder: Folder,
+    socket: TcpListener,
+}
+
+impl World {
+    fn new() -> World {
+        let (endpoint, discovery) = (Host::open(), Host::open());
+        let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+        let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        World { endpoint, _discovery: discovery, config, folder: Folder::new(), socket }
+    }
+
+    /// One more process, at a second address of its own.
+    fn start(&self) -> (Daemon, SocketAddr) {
+        let control = free_address();
+        let mut config = self.config.clone();
+        config["control"] = json!(control.to_string());
+        (Daemon::sharing(&config, &self.folder, &self.socket), control)
+    }
+
+    fn first(&self) -> Daemon {
+        let (daemon, _) = self.start();
+        daemon.line_with("listens on ");
+        daemon
+    }
+
+    /// Has another process take over from this one, which ends by itself.
+    fn replace(&self, old: &mut Daemon) -> Daemon {
+        let (new, control) = self.start();
+        new.line_with("listens on ");
+        assert_eq!(old.wait(), Some(0));
+        assert_eq!(ready(control), Some(200));
+        new
+    }
+}
+
+fn ready(control: SocketAddr) -> Option<u16> {
+    std::net::TcpStream::connect(control).ok()?;
+    Some(Client::at(control).ask(b"GET /ops/readiness HTTP/1.1\r\n\r\n").0)
+}
+
+/// Every text that is handed in while processes come and go is taken on and delivered once.
+#[test]
+fn texts_come_in_while_one_process_follows_another() {
+    let mut world = World::new();
+    // Room for all that a client can hand in while nothing goes out.
+    world.config["settings"]["ceilings"]["most-held"] = json!(5000);
+    let mut daemon = world.first();
+    let address = daemon.address;
+    let stop = AtomicBool::new(false);
+    let (statuses, came) = thread::scope(|scope| {
+        let clients = scope.spawn(|| {
+            let mut statuses = Vec::new();
+            while !stop.load(Ordering::Relaxed) {
+                let id = format!("t{}", statuses.len());
+                statuses.push(Client::at(address).ask(&text("free", &id, 0, "key", b"hello")).0);
+            }
+            statuses
+        });
+        let answers = scope.spawn(|| {
+            let mut came: BTreeMap<String, u32> = BTreeMap::new();
+            loop {
+                match world.endpoint.next_within(Duration::from_millis(500)) {
+                    Some(visit) => {
+                        *came.entry(visit.header("x-request-id").to_owned()).or_default() += 1;
+                        visit.status(200);
+                    }
+                    None if stop.load(Ordering::Relaxed) => return came,
+                    None => {}
+                }
+            }
+        });
+        for _ in 0..3 {
+            daemon = world.replace(&mut daemon);
+        }
+        stop.store(true, Ordering::Relaxed);
+        (clients.join().expect("every text has an answer"), answers.join().expect("calls are answered"))
+    });
+    assert!(statuses.len() > 30 && statuses.iter().all(|status| *status == 202), "{statuses:?}");
+    assert_eq!(came.len(), statuses.len(), "each was delivered");
+    assert!(came.values().all(|times| *times == 1), "{came:?}");
+}
+
+#[test]
+fn what_the_old_process_was_told_binds_the_new_one() {
+    let world = World::new();
+    let mut old = world.first();
+    // An id that is over is known; a wait that was told goes on.
+    assert_eq!(old.hand_in("free", "over", 0), 202);
+    world.endpoint.next().status(200);
+    old.counts("delivered", 1);
+    assert_eq!(old.hand_in("free", "waits", 0), 202);
+    let wait = Duration::from_millis(2500);
+    let turned_away =
+        format!("HTTP/1.1 429 X\r\nContent-Length: 0\r\nRetry-After: {}\r\n\r\n", wait.as_secs_f64());
+    let told = Instant::now();
+    world.endpoint.next().answer(turned_away);
+    old.counts("full", 1);
+    let new = world.replace(&mut old);
+    assert_eq!(new.hand_in("free", "over", 0), 202);
+    assert_eq!(new.hand_in("free", "fresh", 0), 202);
+    let first = world.endpoint.next();
+    assert!(told.elapsed() >= wait, "called after {:?}", told.elapsed());
+    let mut ids = vec![first.header("x-request-id").to_owned()];
+    first.status(200);
+    let second = world.endpoint.next();
+    ids.push(second.header("x-request-id").to_owned());
+    second.status(200);
+    ids.sort();
+    assert_eq!(ids, ["fresh", "waits"]);
+    new.counts("delivered", 2);
+    assert!(world.endpoint.is_quiet(), "what was over came again");
+}
+
+/// A text on its last submit when ownership moves is not submitted once more, and a once-only one in doubt never.
+#[test]
+fn submits_used_and_doubt_go_over() {
+    let mut world = World::new();
+    world.config["settings"]["ceilings"]["max-attempts"] = json!(2);
+    let mut old = world.first();
+    assert_eq!(old.hand_in("free", "twice", 0), 202);
+    world.endpoint.next().status(500);
+    let last = world.endpoint.next();
+    assert_eq!(old.hand_in("once", "once", 0), 202);
+    let doubt = world.endpoint.next();
+    let new = world.replace(&mut old);
+    for (name, count) in [("nacked", 1), ("undeliverable", 1), ("submitted", 0)] {
+        new.counts(name, count);
+    }
+    drop((last, doubt));
+}
+
+#[test]
+fn an_endpoint_out_by_hand_stays_out() {
+    let world = World::new();
+    let (mut old, control) = world.start();
+    old.line_with("listens on ");
+    let order = |control, which: &str| {
+        let raw = format!("PUT /ops/endpoints/{which} HTTP/1.1\r\nContent-Length: 2\r\n\r\ne0");
+        Client::at(control).ask(raw.as_bytes()).0
+    };
+    assert_eq!(order(control, "down"), 200);
+    let (new, control) = world.start();
+    new.line_with("listens on ");
+    assert_eq!(old.wait(), Some(0));
+    assert_eq!(new.hand_in("free", "a", 0), 202);
+    assert_eq!(new.counter("submitted"), 0);
+    assert_eq!(order(control, "up"), 200);
+    world.endpoint.next().status(200);
+    new.counts("delivered", 1);
+}
+
+/// The old process goes on where the new one dies while it waits, and another one still can take over.
+#[test]
+fn a_new_process_that_dies_changes_nothing() {
+    let world = World::new();
+    let mut old = world.first();
+    assert_eq!(old.hand_in("once", "held", 0), 202);
+    // Out, so that the old one has something to wait for.
+    let held = world.endpoint.next();
+    let (mut new, control) = world.start();
+    old.line_with("waits to take over");
+    assert_eq!(ready(control), Some(503));
+    new.kill();
+    old.line_with("no other process takes over");
+    held.status(200);
+    old.counts("delivered", 1);
+    assert_eq!(old.hand_in("free", "after", 0), 202);
+    world.endpoint.next().status(200);
+    old.counts("delivered", 2);
+    let new = world.replace(&mut old);
+    assert_eq!(new.hand_in("free", "last", 0), 202);
+    world.endpoint.next().status(200);
+    new.counts("delivered", 1);
+}
+
+/// An old process that stands still keeps its right until it is killed; the new one says that it is ready meanwhile, so
+/// that somebody does.
+#[test]
+fn an_old_process_that_stands_still_is_waited_for() {
+    let world = World::new();
+    let mut old = world.first();
+    assert_eq!(old.hand_in("free", "a", 0), 202);
+    world.endpoint.next().hang_up();
+    old.signal("-STOP");
+    let (new, control) = world.start();
+    new.line_with("its end is waited for");
+    assert_eq!(ready(control), Some(200));
+    assert!(world.endpoint.is_quiet(), "two owners");
+    old.kill();
+    new.line_with("listens on ");
+    let visit = world.endpoint.next();
+    assert_eq!(visit.header("x-request-id"), "a");
+    visit.status(200);
+    new.counts("delivered", 1);
+}
+
+#[test]
+fn a_descriptor_that_is_no_socket_ends_the_start() {
+    let world = World::new();
+    for number in ["4", "nine", "-1"] {
+        let mut command = command(&world.config, &world.folder);
+        command.env("ROUTER_PASSED_SOCKET", number);
+        let (code, said) = complaint(command);
+        assert!(code == Some(1) && said.contains("ROUTER_PASSED_SOCKET"), "{said}");
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -7,7 +7,9 @@
 
 macro_rules! ids {
     ($($name:ident),*) => {$(
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+        )]
         pub struct $name(pub usize);
     )*};
 }
@@ -191,6 +193,8 @@
     },
     /// Other settings are in force from now on. Texts at hand keep their products.
     Settings(Settings),
+    /// Another process is about to take over: nothing new is submitted, all else goes on; or it does not come after all.
+    Quiet(bool),
     /// The stream of an answer has begun.
     Streaming {
         text: TextId,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use crate::chance::Chance;
 use crate::time::{Moment, Span};
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -148,7 +149,7 @@
     cut_short: bool,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 enum State {
     #[default]
     Sound,
@@ -158,7 +159,7 @@
 }
 
 /// What a sender's own calls say of a lane or an endpoint.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Health {
     state: State,
     since: Moment,
@@ -170,10 +171,6 @@
 }
 
 impl Health {
-    fn is_down(&self) -> bool {
-        self.state == State::Down
-    }
-
     /// From when on a call may go out, if no outcome has to come first.
     fn opens(&self, out: usize) -> Option<Moment> {
         match self.state {
@@ -226,7 +223,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Endpoint {
     dest: DestId,
     kind: KindId,
@@ -235,6 +232,7 @@
     running: bool,
     /// Taken out by the operators, whatever the list says of it.
     by_hand: bool,
+    #[serde(skip)]
     calls: BTreeSet<u64>,
     last_used: Moment,
     health: Health,
@@ -247,10 +245,11 @@
 }
 
 /// The window of one destination, or of one route where routes are apart.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Lane {
     window: usize,
     delivered: usize,
+    #[serde(skip)]
     calls: BTreeSet<u64>,
     wait_until: Moment,
     cut_at: Moment,
@@ -270,6 +269,18 @@
 
 type LaneId = (DestId, Option<EndpointId>);
 
+/// What a process has learnt, for the one that takes its place under the same ids; what it holds is told by
+/// [`Event::Resumed`], and which endpoints are listed by [`Event::Listed`].
+#[derive(Serialize, Deserialize)]
+pub struct Learnt {
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    lanes: BTreeMap<LaneId, Lane>,
+    lost: BTreeMap<KindId, Moment>,
+    asked: Vec<(DestId, f64, Moment)>,
+    rests: Vec<(KeyId, Moment)>,
+    started: Option<Moment>,
+}
+
 #[derive(Default)]
 pub struct Rules {
     settings: Settings,
@@ -292,6 +303,9 @@
     lost: BTreeMap<KindId, Moment>,
     longest: BTreeSet<(usize, DestId)>,
     asks_failed: u32,
+    /// Another process takes over: nothing new goes out.
+    quiet: bool,
+    begun: bool,
     started: Option<Moment>,
     now: Moment,
     actions: Vec<Action>,
@@ -355,12 +369,38 @@
         Rules { settings, chance: Chance::new(seed), ..Rules::default() }
     }
 
+    pub fn learnt(&self) -> Learnt {
+        let rests = self.keys.iter().filter_map(|(id, key)| Some((*id, key.rest_until?)));
+        let asked = self.holds.iter().map(|(id, hold)| (*id, hold.asked, hold.asked_at));
+        let (asked, rests) = (asked.collect(), rests.collect());
+        let (endpoints, lanes, lost) = (self.endpoints.clone(), self.lanes.clone(), self.lost.clone());
+        Learnt { endpoints, lanes, lost, asked, rests, started: self.started }
+    }
+
+    /// Goes on with what another process has learnt, of which no call is out any more.
+    pub fn heir(settings: Settings, seed: u64, learnt: Learnt) -> Rules {
+        let Learnt { endpoints, lanes, lost, asked, rests, started } = learnt;
+        let mut rules = Rules { endpoints, lanes, lost, started, ..Rules::new(settings, seed) };
+        rules.endpoints.values_mut().for_each(|at| at.running = false);
+        for (dest, asked, asked_at) in asked {
+            rules.holds.insert(dest, Hold { asked, asked_at, ..Hold::default() });
+        }
+        for (id, until) in rests {
+            rules.keys.insert(id, KeyLine { rest_until: Some(until), ..KeyLine::default() });
+            rules.dues.insert((until, Due::Key(id)));
+        }
+        let now = Moment::default();
+        rules.dues.extend(rules.endpoints.keys().map(|id| (now, Due::Unlisted(*id))));
+        rules.dues.extend(rules.lanes.keys().map(|id| (now, Due::Idle(*id))));
+        rules
+    }
+
     /// Takes all that happened at `now`, in order, and returns what to do about it, in order.
     pub fn step(&mut self, now: Moment, events: Vec<Event>) -> Vec<Action> {
         self.now = now;
-        let mut beat = self.started.is_none();
+        let mut beat = !std::mem::replace(&mut self.begun, true);
         if beat {
-            self.started = Some(now);
+            self.started.get_or_insert(now);
             if self.settings.must_subscribe {
                 self.actions.push(Action::Subscribe { on: true });
             }
@@ -375,6 +415,7 @@
                 Event::Withdrawn(text) => self.end(text),
                 Event::Maintained { endpoint, out } => self.maintained(endpoint, out),
                 Event::Settings(settings) => self.settings = settings,
+                Event::Quiet(on) => self.quiet = on,
                 Event::Woken => beat = true,
                 _ => {}
             }
@@ -393,12 +434,11 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Whether nothing new goes to an endpoint now but a trial, by hand, by the list or by what its calls told.
+    /// Whether nothing new but a trial goes to an endpoint, by hand, by the list or by what its calls told.
     pub fn avoids(&self, endpoint: EndpointId) -> bool {
-        self.endpoints.get(&endpoint).is_some_and(|at| {
-            let lane_down = self.lanes.get(&self.lane_of(endpoint)).is_some_and(|lane| lane.health.is_down());
-            !at.serves() || at.health.is_down() || lane_down
-        })
+        let Some(at) = self.endpoints.get(&endpoint) else { return false };
+        let lane = self.lanes.get(&self.lane_of(endpoint)).map(|lane| lane.health.state);
+        !at.serves() || [Some(at.health.state), lane].contains(&Some(State::Down))
     }
 
     /// The window of each lane, for those who draw it; nothing is decided by it outside.
@@ -440,16 +480,14 @@
         }
     }
 
-    /// An endpoint that operators took out was most likely restarted meanwhile: it comes back cold, as from an outage.
+    /// What operators took out was most likely restarted meanwhile: it comes back cold, as from an outage.
     fn maintained(&mut self, id: EndpointId, out: bool) {
         let Some(at) = self.endpoints.get_mut(&id).filter(|at| at.by_hand != out) else { return };
         at.by_hand = out;
         let (dest, serves) = (at.dest, at.serves());
         let hold = self.holds.get_mut(&dest).expect("an endpoint has the hold of its destination");
         hold.endpoints.retain(|other| *other != id);
-        if serves {
-            hold.endpoints.push(id);
-        }
+        hold.endpoints.extend(serves.then_some(id));
         if !out {
             let next = self.now + self.turn(self.lane_of(id));
             let back = Health { state: State::Back, since: self.now, next, ..Health::default() };
@@ -479,7 +517,11 @@
         match key {
             None => self.put(id, Place::Fresh),
             Some(key) => {
-                self.keys.entry(key).or_default().line.push_back(id);
+                let keyed = self.keys.entry(key).or_default();
+                keyed.line.push_back(id);
+                // The process before may have ended a moment ago, with a call out.
+                let rests = doubt.map(|_| now + self.settings.rest_after_doubt);
+                keyed.rest_until = keyed.rest_until.max(rests);
                 self.advance(key);
             }
         }
@@ -935,7 +977,8 @@
         for dest in std::mem::take(&mut self.touched) {
             self.line_up(dest, &passed);
         }
-        while self.calls.len() < self.settings.slots
+        while !self.quiet
+            && self.calls.len() < self.settings.slots
             && let Some(&first) = self.line.first()
         {
             // What was open when it came into the line may have fallen silent since.
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,5 +1,6 @@
 //! Points in time and spans, kept apart by type so that one can't pass for the other.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, AddAssign, Mul, Sub};
 
 /// A point on the caller's clock, whose origin means nothing.
@@ -10,7 +11,7 @@
 /// assert_eq!((start + Span::millis(250)).since(start), Span::millis(250));
 /// assert_eq!(start.since(start + Span::millis(250)), Span::ZERO);
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Moment(i64);
 
 /// Long before anything that is told of.
@@ -21,7 +22,7 @@
 }
 
 /// A length of time in whole microseconds, never below zero.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Span(i64);
 
 impl Moment {
