Calls are cut by what their lane answers, and a cut strikes the endpoint

A probe at each overdue call printed why it stayed: its endpoint had one call out and had answered nothing since, as the next texts go to the endpoints with fewer calls out; the lane had answered all the time. So evidence at the endpoint never came.

Change: the lane's last answer decides, not the endpoint's; as the endpoint itself may be silent, each cut is one strike against it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -754,19 +754,19 @@
         }
     }
 
-    /// Guards against connections that fall silent while their endpoint answers on others, and hold slots for long.
+    /// Guards against connections that fall silent and hold slots for long while their receiver answers on others.
     fn overdue(&mut self, id: u64) {
         let Some(call) = self.calls.get(&id) else { return };
-        let (lane, at) = (&self.lanes[&self.lane_of(call.endpoint)], &self.endpoints[&call.endpoint]);
+        let lane = &self.lanes[&self.lane_of(call.endpoint)];
         let expected = call.sent + Span::from_millis(lane.recent + lane.spread);
-        let overtaken = at.health.last_ok > expected && self.now >= call.sent + lane.patience();
+        let overtaken = lane.health.last_ok > expected && self.now >= call.sent + lane.patience();
         let mut texts = call.texts.iter().map(|id| &self.texts[id]);
         let again = |text| self.repeat(text) != Repeat::OnceOnly && self.may_go_again(text);
         if overtaken && call.texts_out == call.texts.len() && self.settings.may_revoke && texts.all(again) {
             let revoke = |&text: &TextId| Action::Revoke { text, submit: self.texts[&text].submits - 1 };
             self.actions.extend(call.texts.iter().map(revoke));
         } else {
-            self.dues.insert((self.now + SILENT_AT_LEAST, Due::Overdue(id)));
+            self.dues.insert((self.now + BEAT * 4.0, Due::Overdue(id)));
         }
     }
 
@@ -794,7 +794,8 @@
             }
         }
         let weight = match outcome.verdict {
-            Verdict::Moot | Verdict::Cancelled => return,
+            Verdict::Moot => return,
+            Verdict::Cancelled => return endpoint.health.failed(now, sent, 1, false, jitter),
             Verdict::Delivered => {
                 endpoint.health.succeeded(now, turn, cold);
                 // What an outage turned away tells of no limit: the cold budget alone holds what is back.
