A call is cut only once its lane has answered after it was overdue

Cause: an answer that came before the receiver fell silent, but after the call was expected, counted as a sign of life. Rules::overdue now wants one from after the call was overdue.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -758,8 +758,7 @@
     fn overdue(&mut self, id: u64) {
         let Some(call) = self.calls.get(&id) else { return };
         let lane = &self.lanes[&self.lane_of(call.endpoint)];
-        let expected = call.sent + Span::from_millis(lane.recent + lane.spread);
-        let overtaken = lane.health.last_ok > expected && self.now >= call.sent + lane.patience();
+        let overtaken = lane.health.last_ok > call.sent + lane.patience();
         let mut texts = call.texts.iter().map(|id| &self.texts[id]);
         let again = |text| self.repeat(text) != Repeat::OnceOnly && self.may_go_again(text);
         if overtaken && call.texts_out == call.texts.len() && self.settings.may_revoke && texts.all(again) {
