--- a/crates/sender/tests/sender/succession.rs
+++ b/crates/sender/tests/sender/succession.rs
@@ -220,3 +220,43 @@
         assert!(code == Some(1) && said.contains("ROUTER_PASSED_SOCKET"), "{said}");
     }
 }
+
+/// What can't be left to the next one would bind nobody: the old one serves on, also while the disk is full.
+#[test]
+fn an_estate_that_cant_be_written_keeps_the_old_process() {
+    let world = World::new();
+    let mut old = world.first();
+    // Nothing can be written where a folder lies.
+    let blocked = world.folder.state().join("estate.new");
+    std::fs::create_dir(&blocked).expect("the folder is there");
+    let (mut new, _) = world.start();
+    old.line_with("can't take over");
+    assert_eq!(old.hand_in("free", "a", 0), 202);
+    world.endpoint.next().status(200);
+    old.counts("delivered", 1);
+    new.kill();
+    std::fs::remove_dir(&blocked).expect("empty");
+    world.replace(&mut old);
+}
+
+/// A process that stood still for long and wakes finds the other one waiting, and leaves in order.
+#[test]
+fn an_old_process_that_wakes_after_all_lets_the_new_one_in() {
+    let world = World::new();
+    let mut old = world.first();
+    assert_eq!(old.hand_in("free", "a", 0), 202);
+    let held = world.endpoint.next();
+    old.signal("-STOP");
+    let (new, _) = world.start();
+    new.line_with("its end is waited for");
+    assert!(world.endpoint.is_quiet(), "two owners");
+    held.status(200);
+    old.signal("-CONT");
+    new.line_with("listens on ");
+    assert_eq!(old.wait(), Some(0));
+    assert_eq!(new.hand_in("free", "b", 0), 202);
+    let visit = world.endpoint.next();
+    assert_eq!(visit.header("x-request-id"), "b", "the answer that came meanwhile counts");
+    visit.status(200);
+    new.counts("delivered", 1);
+}
