--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -84,7 +84,7 @@
         let Settings { quiet, closing, .. } = self.settings;
         let (stage, step) = match (self.stage, seen.asked) {
             (Stage::Left | Stage::Serving, false) | (Stage::Left | Stage::Staying, true) => return None,
-            (Stage::Staying, false) => (Stage::Serving, None),
+            (Stage::Staying, false) => (Stage::Serving, Some(Step::Resume)),
             (Stage::Serving, true) => (Stage::Quiet(now), Some(Step::Hold)),
             (Stage::Quiet(_) | Stage::Closing(_), false) => (Stage::Serving, Some(Step::Resume)),
             (Stage::Quiet(since), true) if !seen.out || now.since(since) >= quiet => {
