An end by takeover is asked for like any other; endpoints go over as they were listed

Change: the decider marks the sender as stopping when it leaves, and wait is what it was; the estate carries Listed; names out by hand are gathered once a list; references have an index; tests of a lone decider share one set-up, two tests of a process that stands still are one.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -10,14 +10,8 @@
     path.display().to_string()
 }
 
-/// Folders lie in memory where the system has such a place: nothing here asks how fast a disk is that builds keep busy.
-fn base() -> PathBuf {
-    let memory = PathBuf::from("/dev/shm");
-    if memory.is_dir() { memory } else { PathBuf::from(env!("CARGO_TARGET_TMPDIR")) }
-}
-
 fn folder(name: &str) -> PathBuf {
-    let path = base().join(format!("indigomast-{name}-{}", std::process::id()));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
     _ = fs::remove_dir_all(&path);
     fs::create_dir_all(&path).expect("a folder");
     path
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -27,6 +27,7 @@
 use std::io::ErrorKind;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -251,13 +252,13 @@
         let (seed, mut known, mut revision) = (self.seed, self.known.members, Some(self.known.revision));
         let (rules, places, ids, dests, keys) = match self.estate {
             Some(estate) => {
-                known =
-                    estate.endpoints.iter().filter(|one| one.running.is_some()).map(Listed::from).collect();
+                let listed = |one: &&(EndpointId, Listed)| one.1.condition != Condition::Deleted;
+                known = estate.endpoints.iter().filter(listed).map(|(_, one)| one.clone()).collect();
                 revision = estate.revision;
                 let Estate { endpoints, next_endpoint, dests, keys, next_key, ids, learnt, .. } = estate;
                 (
                     Rules::heir(settings, seed, learnt),
-                    Places::heir(&endpoints, next_endpoint),
+                    Places::heir(endpoints, next_endpoint),
                     Ids::heir(ids),
                     Names::of(dests),
                     Keys::heir(keys, next_key),
@@ -381,6 +382,8 @@
                 if self.flush() { self.estate().write(&folder) } else { Err(ErrorKind::StorageFull.into()) };
             let Err(e) = written else {
                 log!("another process takes over; {} texts are owed", self.wal.owed().len());
+                // The end that follows is asked for, as one by a signal is.
+                self.succession.iter().for_each(|own| own.intake.stopping.store(true, Ordering::Relaxed));
                 return true;
             };
             log!("another process can't take over: {e}");
@@ -532,7 +535,7 @@
     /// the order down. The answer follows the journal.
     fn order(&mut self, order: Order) {
         let known = self.places.find(&order.endpoint);
-        let is_out = self.is_out(&order.endpoint);
+        let is_out = self.out_by_hand().any(|name| name == order.endpoint);
         if known.is_none() && !is_out {
             _ = order.reply.try_send(Err(Refusal::UnknownEndpoint));
             return;
@@ -555,8 +558,11 @@
         }
     }
 
-    fn is_out(&self, name: &str) -> bool {
-        self.wal.kept().any(|kept| matches!(kept, Kept::Out { endpoint } if endpoint == name))
+    fn out_by_hand(&self) -> impl Iterator<Item = &str> {
+        self.wal.kept().filter_map(|kept| match kept {
+            Kept::Out { endpoint } => Some(endpoint.as_str()),
+            Kept::Terms { .. } => None,
+        })
     }
 
     /// Tells the decisions; connections of one that was taken out end as they come to rest.
@@ -771,11 +777,8 @@
     fn listed(&mut self, scope: Scope, members: Vec<Listed>) {
         let mut entries = Vec::new();
         let mut told = BTreeSet::new();
-        let mut out = Vec::new();
+        let out: Vec<String> = self.out_by_hand().map(str::to_owned).collect();
         for member in members {
-            if member.condition != Condition::Deleted && self.is_out(&member.name) {
-                out.push(member.name.clone());
-            }
             let (at, place) = self.places.put(&member);
             told.insert(at);
             let moved = member.address.is_some() && member.address != place.address;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -318,7 +318,7 @@
             let asked = self.stopper.stopping.load(Ordering::Relaxed);
             match ended {
                 threads::Ended { name, panicked: true } => return Err(format!("{name} panicked")),
-                threads::Ended { name: "decider", .. } if asked || self.shared => {
+                threads::Ended { name: "decider", .. } if asked => {
                     let intake = &self.stopper.intake;
                     self.stopper.ready.store(false, Ordering::Relaxed);
                     intake.close((!self.shared).then_some(self.address));
@@ -326,9 +326,7 @@
                     while others().is_some_and(|ended| ended.name != "intake") {}
                     return Ok(());
                 }
-                threads::Ended { name, .. } if !asked && !self.shared => {
-                    return Err(format!("{name} ended unasked"));
-                }
+                threads::Ended { name, .. } if !asked => return Err(format!("{name} ended unasked")),
                 // Those that work for the decider may end a moment before it.
                 _ => {}
             }
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -11,7 +11,7 @@
 use crossbeam_channel::Receiver;
 use indigomast::api::{Condition, KindId, ZoneId};
 use indigomast_site::{Complaint, read};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -46,7 +46,7 @@
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Listed {
     pub name: String,
     /// None among those that are gone, which nobody calls any more.
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -2,7 +2,6 @@
 
 use crate::list::Listed;
 use crate::peer::Ask;
-use crate::succession::Known;
 use crossbeam_channel::Sender;
 use indigomast::api::{Condition, EndpointId, KindId, ZoneId};
 use std::collections::{BTreeMap, VecDeque};
@@ -70,43 +69,23 @@
         (at, place)
     }
 
-    /// All of them, for the process that takes this one's place.
-    pub fn known(&self) -> (Vec<Known>, usize) {
-        let known = self.places.iter().map(|(at, place)| Known {
-            at: at.0,
-            name: place.name.clone(),
-            address: place.address,
-            dest: place.dest,
-            kind: place.kind,
-            zone: place.zone,
-            units: place.units,
-            running: place.off_since.is_none().then_some(place.condition == Condition::Running),
-        });
-        (known.collect(), self.next)
+    /// All of them, for the process that takes this one's place; deleted are those that the list names no more.
+    pub fn known(&self) -> (Vec<(EndpointId, Listed)>, usize) {
+        let listed = |place: &Place| {
+            let Place { address, dest, kind, zone, units, .. } = *place;
+            let condition = if place.off_since.is_some() { Condition::Deleted } else { place.condition };
+            Listed { name: place.name.clone(), address, dest, kind, zone, units, condition }
+        };
+        (self.places.iter().map(|(at, place)| (*at, listed(place))).collect(), self.next)
     }
 
     /// Those of the process before, under their indices. What is listed of them is told anew.
-    pub fn heir(known: &[Known], next: usize) -> Places {
+    pub fn heir(known: Vec<(EndpointId, Listed)>, next: usize) -> Places {
         let mut places = Places { next, ..Places::default() };
-        for one in known {
-            let at = EndpointId(one.at);
-            let (name, condition) = (one.name.clone(), one.condition());
-            let Known { address, kind, zone, dest, units, .. } = *one;
-            let place = Place {
-                name,
-                address,
-                kind,
-                zone,
-                dest,
-                units,
-                condition,
-                peer: None,
-                out: 0,
-                off_since: None,
-            };
+        for (at, one) in known {
             places.by_name.insert(one.name.clone(), at);
-            places.places.insert(at, place);
-            if one.running.is_none() {
+            places.put(&one).1.address = one.address;
+            if one.condition == Condition::Deleted {
                 places.leaves(at);
             }
         }
--- a/crates/sender/src/succession.rs
+++ b/crates/sender/src/succession.rs
@@ -5,13 +5,13 @@
 //! goes over in a file that is written and read under that lock only.
 
 use crate::list::Listed;
-use indigomast::api::{Condition, KindId, ZoneId};
+use indigomast::api::EndpointId;
 use indigomast::rules::Learnt;
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -84,37 +84,6 @@
     }
 }
 
-/// An endpoint as the old process knew it.
-#[derive(Serialize, Deserialize)]
-pub struct Known {
-    pub at: usize,
-    pub name: String,
-    pub address: Option<SocketAddr>,
-    pub dest: u64,
-    pub kind: KindId,
-    pub zone: ZoneId,
-    pub units: f64,
-    /// None where the list names it no more.
-    pub running: Option<bool>,
-}
-
-impl Known {
-    pub fn condition(&self) -> Condition {
-        match self.running {
-            Some(true) => Condition::Running,
-            Some(false) => Condition::Stopping,
-            None => Condition::Deleted,
-        }
-    }
-}
-
-impl From<&Known> for Listed {
-    fn from(known: &Known) -> Listed {
-        let Known { address, dest, kind, zone, units, .. } = *known;
-        Listed { name: known.name.clone(), address, dest, kind, zone, units, condition: known.condition() }
-    }
-}
-
 /// All that a process knows beside the journal, under the indices that it has given.
 #[derive(Serialize, Deserialize)]
 pub struct Estate {
@@ -123,7 +92,8 @@
     pub zones: Vec<String>,
     /// Of the list, if it came from the discovery that is in force.
     pub revision: Option<u64>,
-    pub endpoints: Vec<Known>,
+    /// As the list named each last; deleted is what it names no more.
+    pub endpoints: Vec<(EndpointId, Listed)>,
     pub next_endpoint: usize,
     pub dests: Vec<u64>,
     pub keys: Vec<(String, usize)>,
--- a/crates/sender/src/terms.rs
+++ b/crates/sender/src/terms.rs
@@ -9,6 +9,7 @@
 use indigomast::time::Span;
 use indigomast_site::BootInfo;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Between a name and its number. No product's name has it: the name is one part of a path.
 const MARK: char = '/';
@@ -57,11 +58,14 @@
 #[derive(Default)]
 pub struct Table {
     rows: Vec<(String, Terms)>,
+    /// Looked up with every text.
+    index: BTreeMap<String, usize>,
 }
 
 impl Table {
     pub fn new(rows: Vec<(String, Terms)>) -> Table {
-        Table { rows }
+        let index = rows.iter().enumerate().map(|(at, (reference, _))| (reference.clone(), at)).collect();
+        Table { rows, index }
     }
 
     /// Takes the products of settings that are put in force; the index of each, in their order.
@@ -78,6 +82,7 @@
                 Some(last) => format!("{}{MARK}{}", category.name, last + 1),
                 None => category.name.clone(),
             };
+            self.index.insert(reference.clone(), self.rows.len());
             self.rows.push((reference, terms));
             ProductId(self.rows.len() - 1)
         });
@@ -93,7 +98,7 @@
     }
 
     pub fn find(&self, reference: &str) -> Option<ProductId> {
-        self.rows.iter().position(|(row, _)| row == reference).map(ProductId)
+        self.index.get(reference).copied().map(ProductId)
     }
 
     pub fn row(&self, at: ProductId) -> &(String, Terms) {
@@ -107,6 +112,7 @@
     /// As many as the table had at that length.
     pub fn cut_back(&mut self, length: usize) {
         self.rows.truncate(length);
+        self.index.retain(|_, at| *at < length);
     }
 
     /// What the decisions read, by index.
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -2,17 +2,18 @@
 
 use crate::common::{Folder, Host, config, limits, member};
 use crate::owed::info;
-use crossbeam_channel::{bounded, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use indigomast::api::{Condition, EndpointId, KindId, TextId, Verdict, ZoneId};
 use indigomast_admission::Budget;
-use indigomast_sender::Sender;
 use indigomast_sender::clock::Clock;
 use indigomast_sender::config::{Config, InForce};
+use indigomast_sender::counters::Counters;
 use indigomast_sender::decider::{Admission, Decider, HandIn, Word, settle};
 use indigomast_sender::http::{self, Rejection};
 use indigomast_sender::limits::Limits;
 use indigomast_sender::link::Link;
 use indigomast_sender::list::Listed;
+use indigomast_sender::notices::Notice;
 use indigomast_sender::peer::{Ask, Call, Part, Peer, Trunk};
 use indigomast_sender::places::Places;
 use indigomast_sender::ring::Ring;
@@ -108,7 +109,7 @@
     for listen in [None, Some(())] {
         let mut config = Config::parse(&config(&[], discovery).to_string(), folder.state()).expect("good");
         config.listen = listen.map_or(config.listen, |()| ports[0]);
-        let sender = Sender::start(config).expect("starts");
+        let sender = indigomast_sender::Sender::start(config).expect("starts");
         ports.push(sender.address);
         let (stopper, counters) = (sender.stopper(), Arc::clone(&sender.counters));
         assert!(TcpStream::connect(sender.address).is_ok());
@@ -239,6 +240,62 @@
     work.join().expect("no panic");
 }
 
+/// One of several texts can't be called back alone; once all are, their call ends and each may go again.
+#[test]
+fn a_call_of_several_ends_once_all_of_its_texts_are_called_back() {
+    let (endpoint, Lone { actor, decider: _decider, .. }) = (Host::open(), lone());
+    let (decider, words) = unbounded();
+    let trunk = Trunk { decider, ..Arc::into_inner(actor.trunk).expect("nobody else has it") };
+    let (own, asks) = bounded(8);
+    let (address, trunk) = (endpoint.address, Arc::new(trunk));
+    let peer = Peer { endpoint: EndpointId(0), address, trunk, own: own.clone() };
+    thread::spawn(move || peer.run(asks));
+    let (sent, by) = (Instant::now(), Instant::now() + crate::common::PATIENCE);
+    let part =
+        |at| Part { text: TextId(at), submit: 0, id: format!("t{at}"), mark: None, body: Arc::default(), by };
+    own.send(Ask::Call(Call { parts: vec![part(0), part(1)], sent })).expect("it listens");
+    let _unanswered = endpoint.next();
+    [0, 0].into_iter().for_each(|at| own.send(Ask::Revoke(TextId(at))).expect("it listens"));
+    assert!(words.recv_timeout(Duration::from_millis(50)).is_err(), "the other is wanted still");
+    own.send(Ask::Revoke(TextId(1))).expect("it listens");
+    for _ in 0..2 {
+        let word = words.recv_timeout(crate::common::PATIENCE).expect("an outcome is due");
+        assert!(matches!(word, Word::Outcome(outcome) if outcome.verdict == Verdict::Cancelled));
+    }
+}
+
+/// A decider whose neighbours are the test's own mailboxes.
+struct Lone {
+    actor: Decider,
+    decider: Sender<Word>,
+    words: Receiver<Word>,
+    reports: Receiver<Notice>,
+    counted: Arc<Counters>,
+    limits: Arc<Limits>,
+    folder: Folder,
+}
+
+/// The destination is known, but its only endpoint takes nothing new.
+fn lone() -> Lone {
+    let folder = Folder::new();
+    let members = [member("e0", &Host::open(), 0, "Terminating")];
+    let file = config(&members, ([127, 0, 0, 1], 9).into()).to_string();
+    let Config { limits, mut site, known, .. } = Config::parse(&file, folder.state()).expect("well-formed");
+    let (limits, counters, figures) = (Arc::new(limits), Arc::<Counters>::default(), Arc::default());
+    let ((decider, words), (list, _), (notices, reports)) = (unbounded(), unbounded(), unbounded());
+    let trunk = Arc::new(Trunk::new(&limits, &counters, &figures, &decider, &site, &budget(&limits)));
+    let clock = Clock::start();
+    let mut wal = Wal::open(&folder.state(), &limits, clock.now()).expect("opens");
+    let table = settle(&mut wal, &mut site, &figures);
+    let site = Arc::new(InForce::new(site));
+    let (counted, granted, estate, succession) = (Arc::clone(&counters), Arc::clone(&limits), None, None);
+    #[rustfmt::skip]
+    let actor = Decider {
+        clock, limits, counters, figures, site, table, trunk, list, notices, wal, seed: 1, known, estate, succession,
+    };
+    Lone { actor, decider, words, reports, counted, limits: granted, folder }
+}
+
 /// Guards against a stranger's text under a client's id, both of which lay unread: which one was read first tells nothing.
 #[test]
 fn of_two_forms_under_one_id_the_proven_one_is_taken_while_nothing_is_promised() {
@@ -248,38 +305,7 @@
         (false, false, [Err(()), Err(())]),
         (true, true, [Ok(()), Err(())]),
     ] {
-        let folder = Folder::new();
-        let discovery = ([127, 0, 0, 1], 9).into();
-        let members = [member("e0", &Host::open(), 0, "Terminating")];
-        let Config { limits, mut site, known, .. } =
-            Config::parse(&config(&members, discovery).to_string(), folder.state()).expect("well-formed");
-        let (limits, figures) = (Arc::new(limits), Arc::default());
-        let (decider, words) = unbounded();
-        let (list, _asks) = unbounded();
-        let (notices, _reports) = unbounded();
-        let counters = Arc::<indigomast_sender::counters::Counters>::default();
-        let trunk =
-            Arc::new(Trunk::new(&limits, &counters, &Arc::default(), &decider, &site, &budget(&limits)));
-        let mut wal = Wal::open(&folder.state(), &limits, Clock::start().now()).expect("opens");
-        let table = settle(&mut wal, &mut site, &figures);
-        let site = Arc::new(InForce::new(site));
-        let (clock, counted) = (Clock::start(), Arc::clone(&counters));
-        let actor = Decider {
-            clock,
-            limits,
-            counters,
-            figures,
-            site,
-            table,
-            trunk,
-            list,
-            notices,
-            wal,
-            seed: 1,
-            known,
-            estate: None,
-            succession: None,
-        };
+        let Lone { actor, decider, words, counted, folder: _folder, .. } = lone();
         // Both are in the mailbox before it is looked into.
         let answers: Vec<_> = [(first, &b"one"[..]), (second, b"two")]
             .into_iter()
@@ -311,36 +337,7 @@
 /// A decider whose neighbours are the test's own mailboxes.
 #[test]
 fn a_client_gone_before_its_answer_leaves_nothing_behind() {
-    let folder = Folder::new();
-    let discovery = ([127, 0, 0, 1], 9).into();
-    // The destination is known, but its only endpoint takes nothing new.
-    let members = [member("e0", &Host::open(), 0, "Terminating")];
-    let Config { limits, mut site, known, .. } =
-        Config::parse(&config(&members, discovery).to_string(), folder.state()).expect("well-formed");
-    let (limits, figures) = (Arc::new(limits), Arc::default());
-    let (decider, words) = unbounded();
-    let (list, _asks) = unbounded();
-    let (notices, reports) = unbounded();
-    let counters = Arc::<indigomast_sender::counters::Counters>::default();
-    let trunk = Trunk::new(&limits, &counters, &Arc::default(), &decider, &site, &budget(&limits));
-    let mut wal = Wal::open(&folder.state(), &limits, Clock::start().now()).expect("opens");
-    let table = settle(&mut wal, &mut site, &figures);
-    let actor = Decider {
-        clock: Clock::start(),
-        limits: Arc::clone(&limits),
-        counters: Arc::clone(&counters),
-        figures,
-        site: Arc::new(InForce::new(site)),
-        table,
-        trunk: Arc::new(trunk),
-        list,
-        notices,
-        wal,
-        seed: 1,
-        known,
-        estate: None,
-        succession: None,
-    };
+    let Lone { actor, decider, words, reports, counted: counters, folder, limits } = lone();
     let work = thread::spawn(move || actor.run(words));
     let hand_in = |id: usize, product: &str| {
         let (reply, answer) = bounded(1);
--- a/crates/sender/tests/sender/succession.rs
+++ b/crates/sender/tests/sender/succession.rs
@@ -99,8 +99,9 @@
 #[test]
 fn what_the_old_process_was_told_binds_the_new_one() {
     let world = World::new();
-    let mut old = world.first();
-    // An id that is over is known; a wait that was told goes on.
+    let (mut old, control) = world.start();
+    old.line_with("listens on ");
+    // An id that is over is known; a wait that was told goes on, and what is out by hand stays out.
     assert_eq!(old.hand_in("free", "over", 0), 202);
     world.endpoint.next().status(200);
     old.counts("delivered", 1);
@@ -111,9 +112,18 @@
     let told = Instant::now();
     world.endpoint.next().answer(turned_away);
     old.counts("full", 1);
-    let new = world.replace(&mut old);
+    let order = |control, which: &str| {
+        let raw = format!("PUT /ops/endpoints/{which} HTTP/1.1\r\nContent-Length: 2\r\n\r\ne0");
+        Client::at(control).ask(raw.as_bytes()).0
+    };
+    assert_eq!(order(control, "down"), 200);
+    let (new, control) = world.start();
+    new.line_with("listens on ");
+    assert_eq!(old.wait(), Some(0));
     assert_eq!(new.hand_in("free", "over", 0), 202);
     assert_eq!(new.hand_in("free", "fresh", 0), 202);
+    assert!(world.endpoint.next_within(wait.saturating_sub(told.elapsed())).is_none());
+    assert_eq!((new.counter("submitted"), order(control, "up")), (0, 200));
     let first = world.endpoint.next();
     assert!(told.elapsed() >= wait, "called after {:?}", told.elapsed());
     let mut ids = vec![first.header("x-request-id").to_owned()];
@@ -145,26 +155,6 @@
     drop((last, doubt));
 }
 
-#[test]
-fn an_endpoint_out_by_hand_stays_out() {
-    let world = World::new();
-    let (mut old, control) = world.start();
-    old.line_with("listens on ");
-    let order = |control, which: &str| {
-        let raw = format!("PUT /ops/endpoints/{which} HTTP/1.1\r\nContent-Length: 2\r\n\r\ne0");
-        Client::at(control).ask(raw.as_bytes()).0
-    };
-    assert_eq!(order(control, "down"), 200);
-    let (new, control) = world.start();
-    new.line_with("listens on ");
-    assert_eq!(old.wait(), Some(0));
-    assert_eq!(new.hand_in("free", "a", 0), 202);
-    assert_eq!(new.counter("submitted"), 0);
-    assert_eq!(order(control, "up"), 200);
-    world.endpoint.next().status(200);
-    new.counts("delivered", 1);
-}
-
 /// The old process goes on where the new one dies while it waits, and another one still can take over.
 #[test]
 fn a_new_process_that_dies_changes_nothing() {
@@ -189,25 +179,44 @@
     new.counts("delivered", 1);
 }
 
-/// An old process that stands still keeps its right until it is killed; the new one says that it is ready meanwhile, so
-/// that somebody does.
+/// An old process that stands still keeps its right until it is killed, or wakes and leaves in order; the new one says
+/// that it is ready meanwhile, so that somebody ends it. Asked and told of a broken file in the middle of it, it serves.
 #[test]
 fn an_old_process_that_stands_still_is_waited_for() {
-    let world = World::new();
-    let mut old = world.first();
-    assert_eq!(old.hand_in("free", "a", 0), 202);
-    world.endpoint.next().hang_up();
-    old.signal("-STOP");
-    let (new, control) = world.start();
-    new.line_with("its end is waited for");
-    assert_eq!(ready(control), Some(200));
-    assert!(world.endpoint.is_quiet(), "two owners");
-    old.kill();
-    new.line_with("listens on ");
-    let visit = world.endpoint.next();
-    assert_eq!(visit.header("x-request-id"), "a");
-    visit.status(200);
-    new.counts("delivered", 1);
+    for wakes in [false, true] {
+        let world = World::new();
+        let mut old = world.first();
+        assert_eq!(old.hand_in("free", "a", 0), 202);
+        let held = world.endpoint.next();
+        old.signal("-STOP");
+        let (new, control) = world.start();
+        new.line_with("its end is waited for");
+        assert_eq!(ready(control), Some(200));
+        assert!(world.endpoint.is_quiet(), "two owners");
+        let stats = || Client::at(control).ask(b"GET /ops/stats HTTP/1.1\r\n\r\n").1;
+        assert!(stats().contains("sender.current=0\n"), "{}", stats());
+        std::fs::write(world.folder.0.join("config.json"), "{\"name\":").expect("the folder is there");
+        new.signal("-HUP");
+        if wakes {
+            // The answer that came meanwhile counts.
+            held.status(200);
+            old.signal("-CONT");
+            assert_eq!(old.wait(), Some(0));
+        } else {
+            old.kill();
+            drop(held);
+        }
+        new.line_with("listens on ");
+        new.line_with("stays as it was");
+        assert!(stats().contains("sender.conf_invalid=1\n"), "{}", stats());
+        if wakes {
+            assert_eq!(new.hand_in("free", "b", 0), 202);
+        }
+        let visit = world.endpoint.next();
+        assert_eq!(visit.header("x-request-id"), if wakes { "b" } else { "a" });
+        visit.status(200);
+        new.counts("delivered", 1);
+    }
 }
 
 #[test]
@@ -240,32 +249,3 @@
     std::fs::remove_dir(&blocked).expect("empty");
     world.replace(&mut old);
 }
-
-/// A process that stood still for long and wakes finds the other one waiting, and leaves in order.
-#[test]
-fn an_old_process_that_wakes_after_all_lets_the_new_one_in() {
-    let world = World::new();
-    let mut old = world.first();
-    assert_eq!(old.hand_in("free", "a", 0), 202);
-    let held = world.endpoint.next();
-    old.signal("-STOP");
-    let (new, control) = world.start();
-    new.line_with("its end is waited for");
-    assert!(world.endpoint.is_quiet(), "two owners");
-    // Asked in the middle of it, and told of a broken file.
-    let stats = || Client::at(control).ask(b"GET /ops/stats HTTP/1.1\r\n\r\n").1;
-    assert!(stats().contains("sender.current=0\n"), "{}", stats());
-    std::fs::write(world.folder.0.join("config.json"), "{\"name\":").expect("the folder is there");
-    new.signal("-HUP");
-    held.status(200);
-    old.signal("-CONT");
-    new.line_with("listens on ");
-    new.line_with("stays as it was");
-    assert!(stats().contains("sender.conf_invalid=1\n"), "{}", stats());
-    assert_eq!(old.wait(), Some(0));
-    assert_eq!(new.hand_in("free", "b", 0), 202);
-    let visit = world.endpoint.next();
-    assert_eq!(visit.header("x-request-id"), "b", "the answer that came meanwhile counts");
-    visit.status(200);
-    new.counts("delivered", 1);
-}
--- a/src/api.rs
+++ b/src/api.rs
@@ -81,7 +81,7 @@
     pub rest_after_doubt: Span,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Condition {
     Running,
     Stopping,
