Calls that have not left heed a wait, a drain and the end of a memory

Checked with a probe at each call's last byte: the call left 0.43 s after the end of its receiver's memory, 1.0007 s after it was decided, all of it the connection. Ruled out: a late decider, a wrong beginning of the memory.

Lines at fault: Carrier::send in peer.rs writes a call however long its connection took. Change: Submit carries leave_by (150 ms before the memory's end), and Rules withholds calls that have not left when a wait is told or an endpoint stops serving. Way not taken: a shorter connect time, which only makes it rarer and fails sound connections over a far zone.

--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -316,7 +316,8 @@
                 let left = (text.handed.valid_until - CUT).since(self.now);
                 let sla = self.settings.products[text.handed.product.0].sla_time;
                 let time_out = if self.style == Name::OneTry { left } else { sla.min(left) };
-                self.actions.push(Action::Submit { text: entry.1, endpoint, time_out });
+                let leave_by = text.handed.valid_until;
+                self.actions.push(Action::Submit { text: entry.1, endpoint, time_out, leave_by });
             }
         }
     }
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -506,7 +506,7 @@
         let mut calls: Vec<(EndpointId, Vec<(TextId, Span)>)> = Vec::new();
         for action in actions {
             match action {
-                Action::Submit { text, endpoint, time_out } => {
+                Action::Submit { text, endpoint, time_out, .. } => {
                     let dest = self.carriers[sender].owed.get(&text).map(|owed| owed.handed.dest);
                     let kind = dest.map_or(1, |dest| self.texts_per_call(dest));
                     match calls.iter_mut().rev().find(|(to, _)| *to == endpoint) {
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -816,8 +816,8 @@
         let mut asks: Vec<(EndpointId, peer::Ask)> = Vec::new();
         for action in self.rules.step(now, events) {
             match action {
-                Action::Submit { text, endpoint, time_out } => {
-                    let Some(part) = self.submit(text, endpoint, at, now, time_out) else {
+                Action::Submit { text, endpoint, time_out, leave_by } => {
+                    let Some(part) = self.submit(text, endpoint, at, now, (time_out, leave_by)) else {
                         log!("a submit for a text that is not at hand is dropped");
                         continue;
                     };
@@ -842,6 +842,10 @@
                     let out = self.out.get(&(text, submit));
                     asks.extend(out.map(|endpoint| (*endpoint, peer::Ask::Revoke(text))));
                 }
+                Action::Withhold { text, submit } => {
+                    let out = self.out.get(&(text, submit));
+                    asks.extend(out.map(|endpoint| (*endpoint, peer::Ask::Withhold(text))));
+                }
                 Action::CloseIdle { endpoint } => asks.push((endpoint, peer::Ask::CloseIdle)),
                 Action::Subscribe { on } => _ = self.list.try_send(list::Ask::Watch(on)),
                 Action::ReadList => _ = self.list.try_send(list::Ask::Read),
@@ -875,7 +879,7 @@
         endpoint: EndpointId,
         at: Instant,
         now: Moment,
-        time_out: Span,
+        (time_out, leave_by): (Span, Moment),
     ) -> Option<Part> {
         let owed = self.wal.owed().get(&text.0)?;
         let part = Part {
@@ -885,6 +889,7 @@
             mark: owed.info.mark.clone(),
             body: Arc::clone(&owed.body),
             by: at + duration(time_out),
+            leave_by: at + duration(leave_by.since(now)),
         };
         let place = self.places.get(endpoint)?;
         place.out += 1;
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -30,6 +30,8 @@
     pub body: Arc<[u8]>,
     /// When this sender stops waiting for it.
     pub by: Instant,
+    /// It must not leave later: its receiver may have forgotten it, and a connection may take that long to come up.
+    pub leave_by: Instant,
 }
 
 pub struct Call {
@@ -40,6 +42,8 @@
 pub enum Ask {
     Call(Call),
     Revoke(TextId),
+    /// Not to be sent if it has not left yet.
+    Withhold(TextId),
     CloseIdle,
     /// The endpoint is off the list: its connections end as they come to rest, and then the actor.
     Retire,
@@ -82,6 +86,9 @@
 #[derive(Default)]
 struct Tie {
     revoked: bool,
+    /// Whether the call has begun to leave, and whether it is not to.
+    left: bool,
+    withheld: bool,
     texts: Vec<TextId>,
     /// Those of them that were called back.
     called_back: Vec<TextId>,
@@ -144,7 +151,7 @@
                     {
                         let mut tie = lock(&line.tie);
                         tie.texts = call.parts.iter().map(|part| part.text).collect();
-                        tie.revoked = false;
+                        (tie.revoked, tie.left, tie.withheld) = (false, false, false);
                         tie.called_back.clear();
                     }
                     if let Err(lost) = line.calls.try_send(call) {
@@ -164,6 +171,10 @@
                         tie.stream.iter().for_each(|stream| _ = stream.shutdown(Shutdown::Both));
                     }
                 }),
+                Ok(Ask::Withhold(text)) => lines.values().for_each(|line| {
+                    let mut tie = lock(&line.tie);
+                    tie.withheld |= !tie.left && tie.texts.contains(&text);
+                }),
                 Ok(Ask::CloseIdle) => self.keep(&mut lines, |_, _| false),
                 Ok(Ask::MakeRoom(longest)) => self.keep(&mut lines, |number, _| number != longest),
                 Ok(Ask::Retire) => retired = true,
@@ -392,6 +403,10 @@
             if tie.revoked {
                 return Err(Verdict::Cancelled);
             }
+            if tie.withheld || call.parts.iter().any(|part| Instant::now() >= part.leave_by) {
+                return Err(Verdict::Moot);
+            }
+            tie.left = true;
             tie.stream = Some(Arc::clone(link.stream()));
         }
         let host = self.address.to_string();
@@ -413,7 +428,7 @@
             let headers = [("X-Timeout-Ms", wait.as_str())];
             http::put_request(&mut link.outward, "POST /v1/messages:batch", &host, &headers, &body);
         }
-        let by = call.parts.iter().map(|part| part.by).min().unwrap_or(call.sent);
+        let by = call.parts.iter().map(|part| part.by.min(part.leave_by)).min().unwrap_or(call.sent);
         link.send(by).map_err(|_| Verdict::ConnectFailed)?;
         self.trunk.figures.sends.add(call.parts.len());
         Ok(())
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -223,7 +223,15 @@
     let sent = Instant::now();
     let part = |at: usize, millis| {
         let by = sent + Duration::from_millis(millis);
-        Part { text: TextId(at), submit: 0, id: format!("t{at}"), mark: None, body: Arc::default(), by }
+        Part {
+            text: TextId(at),
+            submit: 0,
+            id: format!("t{at}"),
+            mark: None,
+            body: Arc::default(),
+            by,
+            leave_by: by,
+        }
     };
     let call = Call { parts: vec![part(0, 200), part(1, 500)], sent };
     own.send(Ask::Call(call)).expect("it listens");
@@ -240,28 +248,65 @@
     work.join().expect("no panic");
 }
 
-/// One of several texts can't be called back alone; once all are, their call ends and each may go again.
-#[test]
-fn a_call_of_several_ends_once_all_of_its_texts_are_called_back() {
-    let (endpoint, Lone { actor, decider: _decider, .. }) = (Host::open(), lone());
+/// A peer, and the mailbox of its decider.
+fn peer(endpoint: &Host) -> (Sender<Ask>, Receiver<Word>) {
+    let Lone { actor, .. } = lone();
     let (decider, words) = unbounded();
     let trunk = Trunk { decider, ..Arc::into_inner(actor.trunk).expect("nobody else has it") };
     let (own, asks) = bounded(8);
-    let (address, trunk) = (endpoint.address, Arc::new(trunk));
-    let peer = Peer { endpoint: EndpointId(0), address, trunk, own: own.clone() };
+    let peer =
+        Peer { endpoint: EndpointId(0), address: endpoint.address, trunk: Arc::new(trunk), own: own.clone() };
     thread::spawn(move || peer.run(asks));
+    (own, words)
+}
+
+fn call(texts: usize, leave_by: Instant) -> Ask {
     let (sent, by) = (Instant::now(), Instant::now() + crate::common::PATIENCE);
-    let part =
-        |at| Part { text: TextId(at), submit: 0, id: format!("t{at}"), mark: None, body: Arc::default(), by };
-    own.send(Ask::Call(Call { parts: vec![part(0), part(1)], sent })).expect("it listens");
+    let part = |at| Part {
+        text: TextId(at),
+        submit: 0,
+        id: format!("t{at}"),
+        mark: None,
+        body: Arc::default(),
+        by,
+        leave_by,
+    };
+    Ask::Call(Call { parts: (0..texts).map(part).collect(), sent })
+}
+
+fn verdict(words: &Receiver<Word>) -> Verdict {
+    match words.recv_timeout(crate::common::PATIENCE) {
+        Ok(Word::Outcome(outcome)) => outcome.verdict,
+        _ => panic!("an outcome was due"),
+    }
+}
+
+/// One of several texts can't be called back alone; once all are, their call ends and each may go again.
+#[test]
+fn a_call_of_several_ends_once_all_of_its_texts_are_called_back() {
+    let endpoint = Host::open();
+    let (peer, words) = peer(&endpoint);
+    peer.send(call(2, Instant::now() + crate::common::PATIENCE)).expect("it listens");
     let _unanswered = endpoint.next();
-    [0, 0].into_iter().for_each(|at| own.send(Ask::Revoke(TextId(at))).expect("it listens"));
+    [0, 0].into_iter().for_each(|at| peer.send(Ask::Revoke(TextId(at))).expect("it listens"));
     assert!(words.recv_timeout(Duration::from_millis(50)).is_err(), "the other is wanted still");
-    own.send(Ask::Revoke(TextId(1))).expect("it listens");
-    for _ in 0..2 {
-        let word = words.recv_timeout(crate::common::PATIENCE).expect("an outcome is due");
-        assert!(matches!(word, Word::Outcome(outcome) if outcome.verdict == Verdict::Cancelled));
-    }
+    peer.send(Ask::Revoke(TextId(1))).expect("it listens");
+    assert_eq!([verdict(&words), verdict(&words)], [Verdict::Cancelled; 2]);
+}
+
+/// A call whose time to leave is over never does; one that has left is not called back by a wait told after it.
+#[test]
+fn a_call_leaves_in_time_or_not_at_all() {
+    let endpoint = Host::open();
+    let (peer, words) = peer(&endpoint);
+    peer.send(call(1, Instant::now())).expect("it listens");
+    assert_eq!(verdict(&words), Verdict::Moot);
+    assert!(endpoint.is_quiet());
+    peer.send(call(1, Instant::now() + crate::common::PATIENCE)).expect("it listens");
+    let left = endpoint.next();
+    peer.send(Ask::Withhold(TextId(0))).expect("it listens");
+    left.status(200);
+    assert_eq!(verdict(&words), Verdict::Delivered);
 }
 
 /// A decider whose neighbours are the test's own mailboxes.
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -255,18 +255,18 @@
                 _ => None,
             });
             events = told.collect();
-            out.extend(actions.into_iter().map(|action| self.translate(i, action)));
+            out.extend(actions.into_iter().filter_map(|action| self.translate(i, action)));
             if events.is_empty() {
                 return;
             }
         }
     }
 
-    fn translate(&self, i: u64, action: Action) -> Act {
+    fn translate(&self, i: u64, action: Action) -> Option<Act> {
         let op = |text: TextId| *self.texts.name(text.0);
         let address = |endpoint: EndpointId| self.endpoints.name(endpoint.0).clone();
-        match action {
-            Action::Submit { text, endpoint, time_out } => Act::Transmit {
+        Some(match action {
+            Action::Submit { text, endpoint, time_out, .. } => Act::Transmit {
                 i,
                 op_id: op(text),
                 give_up_after_ms: time_out.as_millis(),
@@ -290,6 +290,8 @@
             },
             Action::WakeAt(at) => Act::Timer { i, instant_ms: at.as_millis(), ctx: WAKE.into() },
             Action::Note(what) => Act::Print { i, what },
-        }
+            // There a call leaves in the moment it is told.
+            Action::Withhold { .. } => return None,
+        })
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -215,15 +215,43 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Submit { text: TextId, endpoint: EndpointId, time_out: Span },
-    Nack { text: TextId, come_back_after: Option<Span> },
-    Undeliverable { text: TextId },
-    Revoke { text: TextId, submit: usize },
-    Probe { endpoint: EndpointId },
-    CloseIdle { endpoint: EndpointId },
-    Subscribe { on: bool },
+    /// Not to be sent after `leave_by`, however long a connection takes: its receiver may have forgotten it by then.
+    Submit {
+        text: TextId,
+        endpoint: EndpointId,
+        time_out: Span,
+        leave_by: Moment,
+    },
+    Nack {
+        text: TextId,
+        come_back_after: Option<Span>,
+    },
+    Undeliverable {
+        text: TextId,
+    },
+    Revoke {
+        text: TextId,
+        submit: usize,
+    },
+    /// Not to be sent if it has not left yet, as while its connection comes up; then its outcome is moot.
+    Withhold {
+        text: TextId,
+        submit: usize,
+    },
+    Probe {
+        endpoint: EndpointId,
+    },
+    CloseIdle {
+        endpoint: EndpointId,
+    },
+    Subscribe {
+        on: bool,
+    },
     ReadList,
-    Tell { sender: Option<usize>, bytes: Vec<u8> },
+    Tell {
+        sender: Option<usize>,
+        bytes: Vec<u8>,
+    },
     WakeAt(Moment),
     Note(String),
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -470,10 +470,26 @@
             endpoint.units = entry.units;
             endpoint.running = entry.condition == Condition::Running;
         }
+        let mut withheld = Vec::new();
         for dest in &self.touched {
             let hold = self.holds.get_mut(dest).expect("what is touched has a hold");
-            let gone = hold.endpoints.extract_if(.., |id| !self.endpoints[id].serves());
-            self.dues.extend(gone.map(|id| (self.now + QUIET_SPELL, Due::Unlisted(id))));
+            for id in hold.endpoints.extract_if(.., |id| !self.endpoints[id].serves()) {
+                self.dues.insert((self.now + QUIET_SPELL, Due::Unlisted(id)));
+                withheld.extend(&self.endpoints[&id].calls);
+            }
+        }
+        self.withhold(withheld);
+    }
+
+    /// Guards against calls decided before a wait, a drain or an order was told that leave long after it, as
+    /// their connections took so long to come up.
+    fn withhold(&mut self, calls: Vec<u64>) {
+        for call in calls {
+            for id in &self.calls[&call].texts {
+                if let Some(text) = self.texts.get(id).filter(|text| text.out == Some(call)) {
+                    self.actions.push(Action::Withhold { text: *id, submit: text.submits - 1 });
+                }
+            }
         }
     }
 
@@ -485,7 +501,9 @@
         let hold = self.holds.get_mut(&dest).expect("an endpoint has the hold of its destination");
         hold.endpoints.retain(|other| *other != id);
         hold.endpoints.extend(serves.then_some(id));
-        if !out {
+        if out {
+            self.withhold(self.endpoints[&id].calls.iter().copied().collect());
+        } else {
             let next = self.now + self.turn(self.lane_of(id));
             let back = Health { state: State::Back, since: self.now, next, ..Health::default() };
             self.endpoints.get_mut(&id).expect("looked at").health = back;
@@ -732,6 +750,10 @@
                     (call * self.settings.senders as f64).min(LONGEST_ROUND) * f64::from(lane.health.strikes);
                 lane.paced = lane.paced.max(lane.wait_until.max(self.now) + turn + rounds);
             }
+            if outcome.told_wait.is_some() && first_word {
+                let others = self.lanes[&lane_id].calls.iter().copied();
+                self.withhold(others.filter(|other| *other != call_id).collect());
+            }
         }
         if first_word {
             if matches!(outcome.verdict, Verdict::ConnectFailed | Verdict::Reset | Verdict::TimeOut) {
@@ -1059,13 +1081,15 @@
             let product = self.texts[&id].product;
             let time_out = self.lanes[&lane_id].time_out(self.settings.products[product.0].sla_time);
             self.put(id, Place::Out);
+            let forgotten = self.memory_ends(&self.texts[&id]).map(|end| end + MEMORY_MARGIN * 0.5);
             let text = self.texts.get_mut(&id).expect("chosen from the hold");
+            let leave_by = forgotten.map_or(text.valid_until, |end| end.min(text.valid_until));
             let left = (text.valid_until - CUT_MARGIN).since(self.now);
             cut_short |= left < time_out;
             let time_out = time_out.min(left);
             text.submits += 1;
             text.out = Some(call);
-            self.actions.push(Action::Submit { text: id, endpoint, time_out });
+            self.actions.push(Action::Submit { text: id, endpoint, time_out, leave_by });
         }
         // What is down may have come back this very moment, as cold as it can be.
         let warm_from = |health: &Health| if health.state == State::Down { self.now } else { health.since };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1040,3 +1040,37 @@
         assert_eq!(went < 4, held_back, "{price} {told:?}: {went}");
     }
 }
+
+/// Guards against calls whose connections take long to come up: what was told meanwhile binds them, and so does the end
+/// of their receiver's memory.
+#[test]
+fn a_call_that_has_not_left_is_withheld_by_what_is_told_meanwhile() {
+    type Told = fn(&mut Bench, &[(usize, EndpointId)]) -> Vec<Action>;
+    let told: [(&str, Told, bool); 4] = [
+        ("a wait", |bench, sent| bench.answer(sent[0].0, sent[0].1, Verdict::Full, Some(1000)), true),
+        ("a full", |bench, sent| bench.answer(sent[0].0, sent[0].1, Verdict::Full, None), false),
+        ("a drain", |bench, _| bench.list(Scope::Partial, vec![entry(2, 1, 0, Condition::Stopping)]), true),
+        (
+            "an order",
+            |bench, _| bench.step(vec![Event::Maintained { endpoint: EndpointId(2), out: true }]),
+            true,
+        ),
+    ];
+    for (what, told, withheld) in told {
+        let mut bench = Bench::new(settings(), 0);
+        let sent = submits(&bench.take(2, 0, 1));
+        let other = Action::Withhold { text: TextId(sent[1].0), submit: 0 };
+        assert_eq!(told(&mut bench, &sent).contains(&other), withheld, "{what}");
+    }
+    let mut bench = Bench::new(settings(), 0);
+    let sent = submits(&bench.take(1, 1, 1));
+    let began = bench.now;
+    bench.now += 100.0;
+    bench.answer(sent[0].0, sent[0].1, Verdict::Reset, None);
+    let again = bench.pass(2000.0).into_iter().find_map(|(_, action)| match action {
+        Action::Submit { leave_by, .. } => Some(leave_by),
+        _ => None,
+    });
+    let forgotten = bench.at(began) + MEMORY;
+    assert!(again.is_some_and(|by| by < forgotten && forgotten.since(by) < Span::millis(300)), "{again:?}");
+}
