--- /dev/null
+++ b/crates/sender/src/asking.rs
@@ -0,0 +1,159 @@
+//! When a sender asks for the list, and how long each question may be held: free of I/O.
+//!
+//! Discovery is one service that works through the calls of all senders in turn, and a call that waited in vain has cost
+//! it as much as one that was answered. So a fleet that asks again as soon as it is answered, or turned away, can keep
+//! discovery from answering anyone. A small fleet watches. In a large one each sender has a turn of its own in a round of the
+//! whole fleet and reads the list once a round. It does not watch: a change ends the watches of all at once, and what
+//! changes in the moment after that counts as told to a sender that has begun to pause.
+
+use std::time::{Duration, Instant};
+
+/// The fleet's questions come so far apart, as long as a round of them ends before settings want the next question.
+const APART: Duration = Duration::from_millis(100);
+/// A fleet whose round is longer takes turns: asking on all at once, it would wait longer than discovery lets a call wait.
+const TAKES_TURNS: Duration = Duration::from_millis(1000);
+/// A round is this part at most of the time within which a sender has to ask.
+const PART_OF_TERM: f64 = 0.9;
+/// What is elsewhere now has to be asked for within this part of that time.
+const RENEWED_PART: f64 = 0.2;
+/// A question that failed makes the next round longer by this much, up to so many rounds.
+const GROWTH: f64 = 1.5;
+const LONGEST: f64 = 3.0;
+
+/// The turns of one sender.
+#[derive(Clone, Debug)]
+pub struct Turns {
+    /// From one question to the next.
+    round: Duration,
+    /// This sender's place in a round, from 0 to below 1.
+    place: f64,
+    /// How much longer a round is after failures.
+    stretch: f64,
+    next: Instant,
+    watches: bool,
+}
+
+impl Turns {
+    /// Of the sender with this number among so many, which may not go without asking for longer than `term` (zero where it
+    /// need not ask).
+    pub fn new(now: Instant, number: usize, senders: usize, term: Duration) -> Turns {
+        let senders = senders.max(1);
+        let wanted = APART * senders.min(100_000) as u32;
+        let round = if term.is_zero() { wanted } else { wanted.min(term.mul_f64(PART_OF_TERM)) };
+        let place = (number % senders) as f64 / senders as f64;
+        let watches = wanted <= TAKES_TURNS;
+        let first = if watches { Duration::ZERO } else { round.mul_f64(place) };
+        Turns { round, place, stretch: 1.0, next: now + first, watches }
+    }
+
+    /// Whether it asks to be told of changes as they come, one question after the other.
+    pub fn watches(&self) -> bool {
+        self.watches
+    }
+
+    /// How long to wait for this sender's turn.
+    pub fn wait(&self, now: Instant) -> Duration {
+        self.next.saturating_duration_since(now)
+    }
+
+    /// A question goes out now.
+    pub fn asks(&mut self, now: Instant) {
+        self.next = if self.watches { now } else { now + self.round.mul_f64(self.stretch) };
+    }
+
+    /// The question was answered, or not.
+    pub fn answered(&mut self, well: bool) {
+        self.stretch = if well { 1.0 } else { (self.stretch * GROWTH).min(LONGEST) };
+    }
+
+    /// All senders are told at once that what they know may no longer be so: they ask soon, but not all together.
+    pub fn renewed(&mut self, now: Instant, term: Duration) {
+        if self.watches {
+            return;
+        }
+        let soon = if term.is_zero() { self.round } else { self.round.min(term.mul_f64(RENEWED_PART)) };
+        self.next = now + soon.mul_f64(self.place);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TERM: Duration = Duration::from_secs(10);
+
+    /// The most questions that a fleet asks in any second of a minute, where every one is answered `after` so long.
+    fn busiest_second(senders: usize, after: Duration, well: bool) -> usize {
+        let start = Instant::now();
+        let mut asked: Vec<Duration> = Vec::new();
+        for number in 0..senders {
+            let (mut turns, mut now) = (Turns::new(start, number, senders, TERM), start);
+            while now < start + Duration::from_secs(60) {
+                now += turns.wait(now);
+                asked.push(now - start);
+                turns.asks(now);
+                now += after;
+                turns.answered(well);
+            }
+        }
+        asked.sort();
+        let within = |from: Duration| {
+            asked.iter().filter(|at| (from..from + Duration::from_secs(1)).contains(at)).count()
+        };
+        asked.iter().map(|from| within(*from)).max().unwrap_or(0)
+    }
+
+    #[test]
+    fn a_fleet_asks_no_more_in_any_second_than_its_settings_ask_of_it() {
+        for senders in [100, 300] {
+            // Answered at once, as while the list changes all the time, and turned away at once: the two storms.
+            for (after, well) in [(1, true), (70, false), (2000, false)] {
+                let most = busiest_second(senders, Duration::from_millis(after), well);
+                let wanted = senders as f64 / (TERM.as_secs_f64() * PART_OF_TERM);
+                assert!(most as f64 <= wanted + 2.0, "{senders} senders: {most} in a second");
+            }
+        }
+    }
+
+    #[test]
+    fn a_sender_never_goes_longer_without_a_question_than_it_may() {
+        for senders in [1, 3, 100, 300, 5000] {
+            for number in [0, senders / 2, senders - 1] {
+                let mut now = Instant::now();
+                let mut turns = Turns::new(now, number, senders, TERM);
+                for _ in 0..20 {
+                    let wait = turns.wait(now);
+                    assert!(wait < TERM, "{senders} senders: {wait:?} without a question");
+                    now += wait;
+                    turns.asks(now);
+                    turns.answered(true);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn few_senders_ask_again_as_soon_as_they_are_answered() {
+        let now = Instant::now();
+        let mut turns = Turns::new(now, 1, 3, TERM);
+        assert!(turns.wait(now).is_zero());
+        turns.asks(now);
+        assert!(turns.watches() && turns.wait(now).is_zero());
+        assert!(!Turns::new(now, 1, 100, TERM).watches());
+    }
+
+    #[test]
+    fn a_list_that_moved_is_asked_for_soon_and_in_turns() {
+        let now = Instant::now();
+        let waits: Vec<Duration> = (0..100)
+            .map(|number| {
+                let mut turns = Turns::new(now, number, 100, TERM);
+                turns.asks(now);
+                turns.renewed(now, TERM);
+                turns.wait(now)
+            })
+            .collect();
+        assert!(waits.iter().all(|wait| *wait < Duration::from_secs(2)));
+        assert!(waits.windows(2).all(|two| two[1] - two[0] >= Duration::from_millis(19)));
+    }
+}
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -15,7 +15,7 @@
 use crate::succession::{Estate, Watch};
 use crate::terms::{self, Table};
 use crate::wal::{self, Kept, Report, TextInfo, Wal};
-use crate::{log, log_decision, threads};
+use crate::{log, log_account, log_decision, threads};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use indigomast::api::*;
 use indigomast::rules::Rules;
@@ -247,6 +247,7 @@
         let site = self.site.get();
         let settings = Settings { products: self.table.products(), ..site.info.decode() };
         let ends = self.table.rows().iter().map(|(_, terms)| self.figures.product(&terms.name)).collect();
+        log_account!(settings:?; "begins");
         let texts_per_call = settings.kinds.iter().map(|kind| kind.texts_per_call).collect();
         let strain = self.limits.strain;
         let (seed, mut known, mut revision) = (self.seed, self.known.members, Some(self.known.revision));
@@ -453,6 +454,8 @@
                 self.counters.taken.add(1);
                 let info = owed.info.clone();
                 let handed = self.handed(text, &info);
+                let left = handed.valid_until.since(self.clock.now()).as_millis();
+                log_account!(text = text.0, dest = info.dest, left; "taken");
                 self.pass_gate(text, info.key.as_deref(), Some(Event::Taken(handed)));
             }
             Word::Abandoned(answer) => {
@@ -474,6 +477,14 @@
             }
             Word::Outcome(outcome) => {
                 self.came_back(outcome.text, outcome.submit);
+                let wait = outcome.told_wait.map_or(0.0, Span::as_millis);
+                log_account!(
+                    text = outcome.text.0, submit = outcome.submit, endpoint = outcome.endpoint.0,
+                    verdict:? = outcome.verdict, wait, ms = outcome.latency.as_millis(),
+                    left = outcome.allowance.map_or(-1.0, |a| a.share_left),
+                    rate = outcome.allowance.map_or(-1.0, |a| a.calls_per_sec);
+                    "outcome"
+                );
                 if outcome.verdict.never_ran() {
                     self.wal.never_ran(outcome.text.0, outcome.submit);
                 }
@@ -670,13 +681,16 @@
         let left = Moment::from_millis(info.until_ms).since(now);
         if let Err(again) = self.strain.admit(now, left, span(came.elapsed())) {
             self.counters.turned_away_late.add(1);
+            log_account!(dest = info.dest, why = "late"; "turned-away");
             _ = reply.try_send(Admission::Later(again));
             return;
         }
         let (id, key) = (info.id.clone(), info.key.clone());
+        let dest = info.dest;
         let taken = if full { None } else { self.wal.take(info, body, now) };
         let Some(text) = taken.map(TextId) else {
             self.counters.turned_away.add(1);
+            log_account!(dest, held = self.wal.held(), why = if late { "stopping" } else { "full" }; "turned-away");
             _ = reply.try_send(Admission::Full);
             return;
         };
@@ -768,6 +782,8 @@
                         ZoneId(known.unwrap_or(usize::MAX))
                     });
                     let handed = self.handed(text, info);
+                    let left = handed.valid_until.since(self.clock.now()).as_millis();
+                    log_account!(text = text.0, dest = info.dest, submits = past.submits, left; "resumed");
                     self.pass_gate(text, info.key.as_deref(), Some(Event::Resumed(handed, past)));
                 }
             }
@@ -780,6 +796,8 @@
         let out: Vec<String> = self.out_by_hand().map(str::to_owned).collect();
         for member in members {
             let (at, place) = self.places.put(&member);
+            let (dest, condition, units) = (member.dest, member.condition, member.units);
+            log_account!(endpoint = at.0, name = member.name, dest, kind = member.kind.0, condition:?, units; "listed");
             told.insert(at);
             let moved = member.address.is_some() && member.address != place.address;
             place.address = member.address.or(place.address);
@@ -897,6 +915,7 @@
         self.wal.submitted(text.0, now, zone);
         self.out.insert((text, part.submit), endpoint);
         self.counters.submitted.add(1);
+        log_account!(text = text.0, submit = part.submit, endpoint = endpoint.0; "submit");
         Some(part)
     }
 
@@ -904,6 +923,9 @@
         let Some(owed) = self.wal.owed().get(&text.0) else { return };
         let id = owed.info.id.clone();
         let (dest, submits) = (owed.info.dest, owed.submits());
+        let left = Moment::from_millis(owed.info.until_ms).since(self.clock.now()).as_millis();
+        let how = if matches!(report, Report::Undeliverable) { "undeliverable" } else { "nacked" };
+        log_account!(text = text.0, dest, submits, left; "{how}");
         match report {
             Report::Nacked { again_ms } => {
                 let again_ms = again_ms.map_or(-1.0, f64::round);
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -5,6 +5,7 @@
 //! list, the notices and the door for clients have one each. Another protocol is put in front of the same
 //! decisions by an intake or a peer of its own.
 
+pub mod asking;
 pub mod clock;
 pub mod config;
 pub mod control;
@@ -375,8 +376,9 @@
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let config = Config::from_env()?;
     let (name, stack) = (config.name.clone(), config.limits.stack);
-    log::Sink::new("indigomastd", log::Format::Plain, config.limits.log_lines_a_second)
-        .install(LevelFilter::Warn);
+    log::Sink::new("indigomastd", log::Format::Plain, config.limits.log_lines_a_second).install(
+        if std::env::var_os("ROUTER_ACCOUNT").is_some() { LevelFilter::Trace } else { LevelFilter::Warn },
+    );
     // What is told while another process is waited for: an end is an end, and files are read once this one owns.
     let (mut stop, mut read_again) = (false, false);
     let mut told = || {
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -204,6 +204,8 @@
     pub connect_list: Duration,
     pub watch_hold: Duration,
     pub watch_slack: Duration,
+    /// How long the answer to a question that is not held may take.
+    pub list_time: Duration,
     pub watch_pause: Duration,
     pub report_time: Duration,
     pub report_pause: Duration,
@@ -319,6 +321,7 @@
             connect_list: Duration::from_secs(2),
             watch_hold: Duration::from_secs(4),
             watch_slack: Duration::from_millis(1200),
+            list_time: Duration::from_millis(2500),
             watch_pause: Duration::from_millis(500),
             report_time: Duration::from_millis(1000),
             report_pause: Duration::from_millis(50),
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -1,5 +1,7 @@
 //! The list of endpoints: what a source of it is, and the platform's discovery, which is asked for it or watched.
 
+use crate::asking::Turns;
+use crate::clock::duration;
 use crate::config::Site;
 use crate::counters::Counters;
 use crate::decider::Word;
@@ -7,7 +9,7 @@
 use crate::limits::Limits;
 use crate::link::Link;
 use crate::platform::Platform;
-use crate::{Mailbox, log, threads};
+use crate::{Mailbox, log, log_account, threads};
 use crossbeam_channel::Receiver;
 use indigomast::api::{Condition, KindId, ZoneId};
 use indigomast_site::{Complaint, read};
@@ -116,6 +118,11 @@
         Teller { decider, counters }
     }
 
+    /// A question was not answered, and is asked again unbidden.
+    fn missed(&self) {
+        self.counters.bad_lists.add(1);
+    }
+
     /// What the list says now; none where asking failed, and then the one in force stays.
     pub fn tell(&self, listing: Option<Listing>) {
         match &listing {
@@ -146,6 +153,8 @@
     watch: Mutex<(u64, Option<Arc<TcpStream>>)>,
     /// Changes come unasked at this site, so a watch that ended is begun anew by the carrier.
     unasked: bool,
+    turns: Mutex<Turns>,
+    term: Duration,
 }
 
 pub struct List {
@@ -162,7 +171,9 @@
         let List { platform, site, limits, revision } = *self;
         let unasked = !site.info.decode().must_subscribe;
         let (revision, watch) = (Mutex::new(revision), Mutex::default());
-        let desk = Desk { platform, site, limits, teller, revision, watch, unasked };
+        let (term, info) = (duration(site.info.decode().must_ask_in), &site.info);
+        let turns = Mutex::new(Turns::new(Instant::now(), info.ordinal, info.group_size, term));
+        let desk = Desk { platform, site, limits, teller, revision, watch, unasked, turns, term };
         let desk = Arc::new(desk);
         if unasked {
             desk.watch(true);
@@ -172,6 +183,7 @@
                 Ask::Watch(on) => desk.watch(on),
                 Ask::Renew => {
                     *desk.revision() = None;
+                    desk.turns().renewed(Instant::now(), desk.term);
                     desk.watch(true);
                 }
                 Ask::Read => match desk.read_once() {
@@ -199,6 +211,10 @@
         self.revision.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn turns(&self) -> std::sync::MutexGuard<'_, Turns> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, (u64, Option<Arc<TcpStream>>)> {
         self.watch.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -225,7 +241,20 @@
     fn keep_watch(&self, number: u64) {
         let mut link = None;
         loop {
-            let asked = self.ask(&mut link, number, Some(self.limits.watch_hold));
+            // Nothing is held while a turn is waited for, not even a connection.
+            let turns = self.turns().clone();
+            let (wait, watches) = (turns.wait(Instant::now()), turns.watches());
+            if !wait.is_zero() {
+                link = None;
+                self.lock().1 = None;
+                thread::sleep(wait);
+                if self.lock().0 != number {
+                    return;
+                }
+            }
+            self.turns().asks(Instant::now());
+            let asked = self.ask(&mut link, number, watches.then_some(self.limits.watch_hold));
+            self.turns().answered(asked.is_ok());
             // A watch that was ended or replaced has nothing more to say. It is not replaced while it speaks:
             // its revision would pass for one of the next watch's discovery.
             let running = self.lock();
@@ -238,6 +267,11 @@
                     drop(running);
                     log!("the watch on the list ended: {e}");
                     link = None;
+                    if !watches {
+                        // Its next turn comes by itself, and the list in force stays.
+                        self.teller.missed();
+                        continue;
+                    }
                     if !self.unasked {
                         self.lock().1 = None;
                         return self.tell(None);
@@ -254,11 +288,24 @@
 
     /// One question: for changes with a hold, else, or where nothing known goes on, for the whole list.
     fn ask(&self, link: &mut Option<Link>, watch: u64, hold: Option<Duration>) -> Result<Listing, Complaint> {
+        let from = Instant::now();
+        let listing = self.question(link, watch, hold);
+        let told = listing.as_ref().map_or(-1, |listing| listing.members.len() as i64);
+        log_account!(ms = from.elapsed().as_millis(), told; "asked");
+        listing
+    }
+
+    fn question(
+        &self,
+        link: &mut Option<Link>,
+        watch: u64,
+        hold: Option<Duration>,
+    ) -> Result<Listing, Complaint> {
         let limits = &*self.limits;
         let (address, known) = (self.platform.address(), *self.revision());
         if !link.as_ref().is_some_and(|link| link.sound(limits)) {
             let opened = Link::open(address, limits.connect_list).map_err(|e| e.to_string())?;
-            if hold.is_some() {
+            if watch > 0 {
                 let mut running = self.lock();
                 if running.0 != watch {
                     return Err("it is over".into());
@@ -273,8 +320,10 @@
             Some((hold, from)) => format!("GET {PATH}?from={from}&hold_ms={}", hold.as_millis()),
             None => format!("GET {PATH}"),
         };
+        log_account!(whole = hold.is_none(); "asks");
         http::put_request(&mut open.outward, &line, &address.to_string(), &[], &[]);
-        let by = Instant::now() + hold.unzip().0.unwrap_or_default() + limits.watch_slack;
+        // A call that is given up goes on costing discovery until it has had its turn there.
+        let by = Instant::now() + hold.map_or(limits.list_time, |(hold, _)| hold + limits.watch_slack);
         open.send(by).map_err(|e| format!("not sent: {e:?}"))?;
         let head = open.head(limits, by).map_err(|e| format!("no answer: {e:?}"))?;
         let body = open.body(&head, limits.list, by).map_err(|e| format!("half an answer: {e:?}"))?;
@@ -286,7 +335,7 @@
         }
         let text = std::str::from_utf8(&body).map_err(|e| e.to_string())?;
         let listing = Listing::of(read(text)?, &self.site, limits)?;
-        if known.is_none() && !listing.complete {
+        if hold.is_none() && !listing.complete {
             return Err("changes came where the whole list was asked for".into());
         }
         Ok(listing)
--- a/crates/sender/src/log.rs
+++ b/crates/sender/src/log.rs
@@ -5,7 +5,7 @@
 
 pub use ::log as facade;
 use ::log::kv::{Error, Key, Value, VisitSource};
-use ::log::{LevelFilter, Log, Metadata, Record};
+use ::log::{Level, LevelFilter, Log, Metadata, Record};
 use std::fmt::Write;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -26,6 +26,15 @@
     };
 }
 
+/// One fact of what this sender does, for an account over a fleet; see `indigomast account`. Never limited in number, as a
+/// count with lines left out is none; so it is written only where it is asked for.
+#[macro_export]
+macro_rules! log_account {
+    ($($what:tt)*) => {
+        $crate::log::facade::trace!(target: "indigomast::account", $($what)*)
+    };
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
     /// `program: what key=value`
@@ -121,7 +130,9 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let Some(left_out) = self.admit(Instant::now()) else { return };
+        let limited = record.level() != Level::Trace;
+        let left_out = if limited { self.admit(Instant::now()) } else { Some(0) };
+        let Some(left_out) = left_out else { return };
         let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         if left_out > 0 {
             eprintln!("{}", self.line(at_ms, "warn", &format!("{left_out} lines left out"), &[]));
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -11,7 +11,7 @@
 use crate::http::{self, AnswerHead};
 use crate::limits::Limits;
 use crate::link::{self, Fault, Link};
-use crate::{Mailbox, log, threads};
+use crate::{Mailbox, log, log_account, threads};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use indigomast::api::*;
 use indigomast::time::Span;
@@ -394,6 +394,7 @@
             self.drop_link();
             let first = call.parts.iter().map(|part| part.by).min().unwrap_or(call.sent);
             let left = first.saturating_duration_since(Instant::now());
+            log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
             let opened = Link::open(self.address, left.min(self.trunk.connect_time));
             self.link = Some(opened.map_err(|e| self.unopened(&e))?);
         }
