--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,7 +54,13 @@
 const LONGEST_ROUND: Span = Span::millis(2_000);
 const PACE_EARLY: Span = Span::millis(100);
 const LEAST_PACE: f64 = 0.4;
+/// Where being turned away costs nothing a pace starts at this part of a known rate.
 const FIRST_PART: f64 = 0.25;
+/// A pace never falls under this part of a sender's part of a known rate.
+const LEAST_PART: f64 = 0.2;
+/// While less than this share of a limit is left, paces don't rise, and fall by up to this part an answer.
+const SCARCE: f64 = 0.5;
+const EASING: f64 = 0.1;
 /// Calls unanswered this many usual answer times, and at least so long, are taken for silence.
 const SILENT_TIMES: f64 = 4.0;
 const SILENT_AT_LEAST: Span = Span::millis(500);
@@ -801,17 +807,24 @@
         let backlog =
             self.holds.get(&lane_id.0).is_some_and(|hold| !hold.fresh.is_empty() || !hold.ready.is_empty());
         let known = self.known_rate(lane_id);
-        let senders = self.settings.senders.max(1) as f64;
         let part = self.part(lane_id);
         let gap = Span::from_millis(1000.0 / part.max(1e-3));
         let jitter = 0.8 + 0.4 * self.chance.share();
+        let start = self.first_pace(lane_id, outcome.allowance.map_or(0.0, |told| told.calls_per_sec));
+        let scarce =
+            outcome.allowance.is_some_and(|told| told.calls_per_sec > 0.0 && told.share_left < SCARCE);
         let slots = self.settings.slots;
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
         let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
         if let Some(allowance) = outcome.allowance {
             lane.told_rate = allowance.calls_per_sec;
-            if lane.pace == 0.0 {
-                lane.pace = lane.told_rate * (2.0 / (senders + 1.0)).max(FIRST_PART);
+            if lane.pace == 0.0 && lane.told_rate > 0.0 {
+                lane.pace = start;
+            }
+            // Of many senders each sees only here what the others do: a full comes when the limit is used up.
+            if scarce && sent >= lane.cut_at {
+                let eased = lane.pace * (1.0 - EASING * (1.0 - allowance.share_left / SCARCE));
+                lane.pace = lane.pace.min(eased.max(part * LEAST_PART));
             }
         }
         let weight = match outcome.verdict {
@@ -825,7 +838,7 @@
                 }
                 lane.health.succeeded(now, turn, cold);
                 lane.time_outs = 0;
-                if lane.pace > 0.0 && backlog {
+                if lane.pace > 0.0 && backlog && !scarce {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
                     lane.pace = (lane.pace + PACE_RISE * part / lane.pace.max(1.0)).min(most);
                 }
@@ -858,7 +871,7 @@
             let used =
                 if told || self.settings.turned_away_price == 0.0 { lane.pace } else { lane.pace.min(part) };
             let from = if lane.pace > 0.0 { used } else { part.max(1.0) };
-            let least = if known > 0.0 { part / 2.0 } else { LEAST_PACE };
+            let least = if known > 0.0 { part * LEAST_PART } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
             lane.paced = lane.paced.max(now);
         }
@@ -935,6 +948,13 @@
         handed.max(known.max(LEAST_RATE) / self.settings.senders.max(1) as f64)
     }
 
+    /// What a sender allows itself of a rate before it has met its limit. Where refused calls cost, many that start
+    /// far above their parts would use the limit up for all until each has been turned away often enough.
+    fn first_pace(&self, id: LaneId, rate: f64) -> f64 {
+        let first = if self.settings.turned_away_price > 0.0 { 0.0 } else { FIRST_PART };
+        self.part(id).min(rate).max(rate * (2.0 / (self.settings.senders as f64 + 1.0)).max(first))
+    }
+
     /// Pause between two calls to a cold receiver. Demand swells with nacks: a known rate is parted.
     fn cold_gap(&self, id: LaneId, since: Moment) -> Span {
         let warmth = (self.now.since(since).as_secs() / self.settings.cold_span.as_secs().max(1e-3)).min(1.0);
@@ -1037,7 +1057,7 @@
     /// One call, filled with as many of the texts held as it carries.
     fn call(&mut self, dest: DestId, endpoint: EndpointId) -> bool {
         let lane_id = self.lane_of(endpoint);
-        let start = self.known_rate(lane_id) * (2.0 / (self.settings.senders as f64 + 1.0)).max(FIRST_PART);
+        let start = self.first_pace(lane_id, self.known_rate(lane_id));
         self.lanes.entry(lane_id).or_insert_with(|| {
             self.dues.insert((self.now + QUIET_SPELL, Due::Idle(lane_id)));
             Lane { window: (self.settings.slots / 2).max(1), pace: start, ..Lane::default() }
