--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 //! can't be used or done, said in one line; 2 the command line can't be read; 3 a rule was broken; 4 the rig itself
 //! ran late, so that the run says nothing; 5 a journal is damaged; 130 interrupted.
 
+mod account;
 mod demo;
 mod emulate;
 mod install;
@@ -54,6 +55,13 @@
     },
     /// Run a scenario's gateways and list alone, for senders started by hand
     Emulate(emulate::Arguments),
+    /// What a fleet did by time, cause and destination, from a folder of logs of senders that ran with ROUTER_ACCOUNT set
+    Account {
+        folder: PathBuf,
+        /// Seconds that are counted together
+        #[arg(long, default_value_t = 1.0)]
+        span: f64,
+    },
     /// Look at a sender's journal: what is owed, whether it is sound
     Journal {
         #[command(subcommand)]
@@ -116,6 +124,7 @@
         Command::Demo { json } => demo::run(json),
         Command::Lab { command } => lab::run(command),
         Command::Emulate(arguments) => emulate::run(arguments),
+        Command::Account { folder, span } => account::run(&folder, span),
         Command::Journal { command } => journal::run(command),
         Command::Daemon => indigomast_sender::run().map_err(Failure::Complaint),
     };
