--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -46,6 +46,7 @@
             "call-slots": scenario.fleet.slots,
             "kind-batch": kinds.iter().map(|kind| kind.texts_per_call).collect::<Vec<_>>(),
             "routes-apart": kinds.iter().map(|kind| kind.routes_apart).collect::<Vec<_>>(),
+            "turned-away-price": scenario.rules.refused_price,
         },
         "membership-mode": "automatic",
         "weight-kind": match scenario.list.rate {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -96,6 +96,8 @@
     pub settle_ms: f64,
     pub longest_advice_ms: f64,
     pub connect_ms: f64,
+    /// What it would cost if a call were turned away for each text, as a part of all revenue.
+    pub refused_price: f64,
 }
 
 impl Default for Figures {
@@ -109,6 +111,7 @@
             settle_ms: 100.0,
             longest_advice_ms: 4000.0,
             connect_ms: 1500.0,
+            refused_price: 0.0,
         }
     }
 }
--- a/crates/lab/tests/stages.rs
+++ b/crates/lab/tests/stages.rs
@@ -46,6 +46,18 @@
     }
 }
 
+/// What is harmless in one sender uses up a limit when a hundred do it: the fleet's sum is bounded.
+#[test]
+fn a_hundred_senders_are_seldom_turned_away_by_limits_that_none_sees_whole() {
+    for seed in 1..4 {
+        let run = simulated::run(&scenario("large-fleet"), Name::Module, seed);
+        assert_eq!(run.breaches, [], "seed {seed}");
+        let calls: u64 = run.gateways.iter().map(|gateway| gateway.calls).sum();
+        let refused: u64 = run.gateways.iter().map(|gateway| gateway.refused).sum();
+        assert!(refused * 10 < calls, "seed {seed}: {refused} of {calls} calls were turned away");
+    }
+}
+
 #[test]
 fn a_sender_known_to_be_bad_is_found_out_in_each_scenario_meant_for_it() {
     let cases = [
