A round that grows after failures never outlasts the time in which a sender has to ask

Seen by reading asking.rs again: after a failed question a round of 9 s grew to 13.5 and 27 s, past the 10 s that settings allow without one; the test beside it answered every question. With failures in it the test shows 13.5 s (40 senders). At fault: asks(), which multiplied the round with no bound but three. Way not taken: no growth at all, which leaves fleets of 11 to 90 asking on as fast. Change: the round grows up to nine tenths of that time. Also: the first pace is worked out only where a lane has none, not at each outcome (no decision changed); a test with a stand-in discovery shows whole lists, the turn, and no question at once after a 503.

--- a/crates/sender/src/asking.rs
+++ b/crates/sender/src/asking.rs
@@ -1,4 +1,4 @@
-//! When a sender asks for the list, and how long each question may be held: free of I/O.
+//! When a sender asks for the list, and whether it watches or reads: free of I/O.
 //!
 //! Discovery is one service that works through the calls of all senders in turn, and a call that waited in vain has cost
 //! it as much as one that was answered. So a fleet that asks again as soon as it is answered, or turned away, can keep
@@ -16,19 +16,20 @@
 const PART_OF_TERM: f64 = 0.9;
 /// What is elsewhere now has to be asked for within this part of that time.
 const RENEWED_PART: f64 = 0.2;
-/// A question that failed makes the next round longer by this much, up to so many rounds.
+/// A question that failed makes the next round longer by this much, as far as settings let a sender go without asking, or
+/// up to so many rounds where they don't say.
 const GROWTH: f64 = 1.5;
 const LONGEST: f64 = 3.0;
 
 /// The turns of one sender.
 #[derive(Clone, Debug)]
 pub struct Turns {
-    /// From one question to the next.
+    /// From one question to the next while they are answered, as it is now, and at the most.
     round: Duration,
+    present: Duration,
+    longest: Duration,
     /// This sender's place in a round, from 0 to below 1.
     place: f64,
-    /// How much longer a round is after failures.
-    stretch: f64,
     next: Instant,
     watches: bool,
 }
@@ -39,11 +40,12 @@
     pub fn new(now: Instant, number: usize, senders: usize, term: Duration) -> Turns {
         let senders = senders.max(1);
         let wanted = APART * senders.min(100_000) as u32;
-        let round = if term.is_zero() { wanted } else { wanted.min(term.mul_f64(PART_OF_TERM)) };
+        let longest = if term.is_zero() { wanted.mul_f64(LONGEST) } else { term.mul_f64(PART_OF_TERM) };
+        let round = wanted.min(longest);
         let place = (number % senders) as f64 / senders as f64;
         let watches = wanted <= TAKES_TURNS;
         let first = if watches { Duration::ZERO } else { round.mul_f64(place) };
-        Turns { round, place, stretch: 1.0, next: now + first, watches }
+        Turns { round, present: round, longest, place, next: now + first, watches }
     }
 
     /// Whether it asks to be told of changes as they come, one question after the other.
@@ -58,12 +60,12 @@
 
     /// A question goes out now.
     pub fn asks(&mut self, now: Instant) {
-        self.next = if self.watches { now } else { now + self.round.mul_f64(self.stretch) };
+        self.next = if self.watches { now } else { now + self.present };
     }
 
     /// The question was answered, or not.
     pub fn answered(&mut self, well: bool) {
-        self.stretch = if well { 1.0 } else { (self.stretch * GROWTH).min(LONGEST) };
+        self.present = if well { self.round } else { self.present.mul_f64(GROWTH).min(self.longest) };
     }
 
     /// All senders are told at once that what they know may no longer be so: they ask soon, but not all together.
@@ -117,16 +119,17 @@
 
     #[test]
     fn a_sender_never_goes_longer_without_a_question_than_it_may() {
-        for senders in [1, 3, 100, 300, 5000] {
+        for senders in [1, 3, 40, 100, 300, 5000] {
             for number in [0, senders / 2, senders - 1] {
                 let mut now = Instant::now();
                 let mut turns = Turns::new(now, number, senders, TERM);
-                for _ in 0..20 {
+                // Also where discovery answers nobody for long.
+                for turn in 0..20 {
                     let wait = turns.wait(now);
                     assert!(wait < TERM, "{senders} senders: {wait:?} without a question");
                     now += wait;
                     turns.asks(now);
-                    turns.answered(true);
+                    turns.answered(turn % 10 < 2);
                 }
             }
         }
--- a/crates/sender/tests/sender/sockets.rs
+++ b/crates/sender/tests/sender/sockets.rs
@@ -658,6 +658,37 @@
     daemon.counts("delivered", 1);
 }
 
+/// A sender of a large fleet reads whole lists, each in its turn: the turn of number 0 comes at the start, the last one's
+/// most of a round later. One that is turned away doesn't ask again at once.
+#[test]
+fn one_of_many_senders_reads_the_list_in_its_turn() {
+    let (endpoint, discovery, mut config, folder) = world();
+    config["settings"]["group-size"] = json!(100);
+    let second = Host::open();
+    let daemon = Daemon::start(&config, &folder);
+    let first = discovery.next();
+    assert_eq!(first.request.path, "/discovery/hosts");
+    let members = [member("e0", &endpoint, 0, "Terminating"), member("e1", &second, 0, "Ready")];
+    let page = json!({"revision": 43, "complete": true, "members": members});
+    first.answer(ok_json(&page.to_string()));
+    daemon.counts("lists", 1);
+    assert_eq!(daemon.hand_in("free", "a", 0), 202);
+    second.next().status(200);
+    daemon.counts("delivered", 1);
+
+    let (_endpoint, discovery, mut config, folder) = world();
+    config["settings"]["group-size"] = json!(100);
+    // Short rounds: the next turn comes while the test waits for it.
+    config["settings"]["obligations"]["must-ask-in-ms"] = json!(1200.0);
+    let since = std::time::Instant::now();
+    let daemon = Daemon::start(&config, &folder);
+    discovery.next().status(503);
+    let next = discovery.next();
+    assert!(since.elapsed() >= std::time::Duration::from_millis(1080), "asked again at once");
+    assert_eq!(next.request.path, "/discovery/hosts");
+    assert_eq!(daemon.counter("bad_lists"), 1);
+}
+
 #[test]
 fn the_list_is_followed_and_a_bad_one_changes_nothing() {
     let (endpoint, discovery, config, folder) = world();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -810,17 +810,16 @@
         let part = self.part(lane_id);
         let gap = Span::from_millis(1000.0 / part.max(1e-3));
         let jitter = 0.8 + 0.4 * self.chance.share();
-        let start = self.first_pace(lane_id, outcome.allowance.map_or(0.0, |told| told.calls_per_sec));
-        let scarce =
-            outcome.allowance.is_some_and(|told| told.calls_per_sec > 0.0 && told.share_left < SCARCE);
+        let unpaced = self.lanes[&lane_id].pace == 0.0;
+        let told = outcome.allowance.filter(|told| told.calls_per_sec > 0.0);
+        let start = told.filter(|_| unpaced).map(|told| self.first_pace(lane_id, told.calls_per_sec));
+        let scarce = told.is_some_and(|told| told.share_left < SCARCE);
         let slots = self.settings.slots;
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
         let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
         if let Some(allowance) = outcome.allowance {
             lane.told_rate = allowance.calls_per_sec;
-            if lane.pace == 0.0 && lane.told_rate > 0.0 {
-                lane.pace = start;
-            }
+            lane.pace = start.unwrap_or(lane.pace);
             // Of many senders each sees only here what the others do: a full comes when the limit is used up.
             if scarce && sent >= lane.cut_at {
                 let eased = lane.pace * (1.0 - EASING * (1.0 - allowance.share_left / SCARCE));
