Lab: a stage of several processes, relays on every line and seeded faults between them

Need: the operators ask first for how many processes behave together when some fail; the lab's sockets stage could stop a sender and strike gateways, but nothing between two ends could be cut, slowed, reset or held back, and a process could not be stopped, starved of descriptors or of disk.

Way not taken: a proxy that only drops connections. Rules are judged by what a sender could know, so a line bears witness: when a call's last byte left the sender, when an answer had gone out to it, when the sender ended the connection. Without that a call held back by a cut is blamed on its sender. Network namespaces are not used; all lines are relays on loopback.

Change: crates/lab/src/processes (line: bytes under way, free of I/O; faults: what, plan drawn from a seed, schedule; network: the carrier), stage `processes` of `lab run`, a time line in the report, scenarios faults and faults-small.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -31,7 +31,13 @@
 pub fn run(json: bool) -> Done {
     let scenario = Scenario::parse(SCENARIO)?;
     let stop = interruption()?;
-    let options = Options { daemon: own_daemon()?, folder: run_folder(), keep: false, stop: stop.clone() };
+    let options = Options {
+        daemons: vec![own_daemon()?],
+        faults: None,
+        folder: run_folder(),
+        keep: false,
+        stop: stop.clone(),
+    };
     let bar = ProgressBar::new((scenario.seconds * 1000.0) as u64);
     bar.set_style(
         ProgressStyle::with_template("{elapsed:>4} {bar:20} {msg}")
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -17,6 +17,8 @@
     Virtual,
     /// Real daemons on loopback addresses in real time
     Sockets,
+    /// The same with a relay on every line, and the scenario's faults between and under the processes
+    Processes,
 }
 
 #[derive(Subcommand)]
@@ -39,10 +41,13 @@
         policy: String,
         #[arg(long, default_value_t = 4)]
         threads: usize,
-        /// Another daemon than this program's own (sockets only)
+        /// Another daemon than this program's own; given several times, senders take them in turn (sockets, processes)
         #[arg(long)]
-        daemon: Option<PathBuf>,
-        /// Leave the senders' folders and logs here (sockets only)
+        daemon: Vec<PathBuf>,
+        /// Play only these faults of the plan, by their numbers: to find the fewest that still fail (processes only)
+        #[arg(long, value_delimiter = ',')]
+        only: Option<Vec<usize>>,
+        /// Leave the senders' folders and logs here (sockets, processes)
         #[arg(long)]
         keep: Option<PathBuf>,
         /// Write all runs to this file
@@ -115,12 +120,30 @@
 
 pub fn run(command: Command) -> Done {
     match command {
-        Command::Run { file, stage, runs, seed, same_seed, policy, threads, daemon, keep, json, quiet } => {
+        Command::Run {
+            file,
+            stage,
+            runs,
+            seed,
+            same_seed,
+            policy,
+            threads,
+            daemon,
+            only,
+            keep,
+            json,
+            quiet,
+        } => {
             let scenario = Scenario::load(&file)?;
             let first = seed.unwrap_or(scenario.seed);
             let seeds: Vec<u64> = (0..runs).map(|n| if same_seed { first } else { first + n }).collect();
             let mut played = Runs::default();
             if stage == Stage::Virtual {
+                if !scenario.plan_of_faults(first).is_empty() {
+                    let file = file.display();
+                    let complaint = format!("{file}: faults: only --stage processes carries them out");
+                    return Err(Failure::Complaint(complaint));
+                }
                 if !scenario.burden.is_none() {
                     let file = file.display();
                     return Err(Failure::Complaint(format!(
@@ -141,14 +164,20 @@
                     )));
                 }
                 let stop = interruption()?;
-                let daemon = match daemon {
-                    Some(program) => keeper::Command { program, arguments: Vec::new() },
-                    None => own_daemon()?,
-                };
+                let given = |program| keeper::Command { program, arguments: Vec::new() };
+                let mut daemons: Vec<_> = daemon.into_iter().map(given).collect();
+                if daemons.is_empty() {
+                    daemons.push(own_daemon()?);
+                }
                 for (number, seed) in seeds.iter().enumerate() {
                     let folder = keep.clone().unwrap_or_else(run_folder).join(format!("run-{number}"));
-                    let options =
-                        Options { daemon: daemon.clone(), folder, keep: keep.is_some(), stop: stop.clone() };
+                    let plan = scenario.plan_of_faults(*seed);
+                    let faults = (stage == Stage::Processes).then(|| match &only {
+                        Some(only) => only.iter().filter_map(|at| plan.get(*at).cloned()).collect(),
+                        None => plan,
+                    });
+                    let (daemons, halt) = (daemons.clone(), stop.clone());
+                    let options = Options { daemons, faults, folder, keep: keep.is_some(), stop: halt };
                     let outcome = sockets::run(&scenario, *seed, &options, &mut |_| {});
                     if keep.is_none() {
                         _ = fs::remove_dir(run_folder());
@@ -156,6 +185,9 @@
                     let outcome = outcome.map_err(|e| ended(e, &stop))?;
                     if !quiet {
                         println!("{}", line(&outcome));
+                        for (at, fault) in outcome.faults.iter().enumerate() {
+                            println!("    {at}: {:.1} s for {:.1} s: {fault}", fault.at_s, fault.for_s);
+                        }
                     }
                     played.runs.push(outcome);
                 }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -85,6 +85,32 @@
     _ = fs::remove_dir_all(folder);
 }
 
+#[test]
+fn several_processes_keep_every_rule_under_faults_between_them() {
+    let folder = folder("faults");
+    let (json, page) = (folder.join("runs.json"), folder.join("page.html"));
+    let (json, page) = (json.display().to_string(), page.display().to_string());
+    let small = scenario("faults-small");
+    let output = run(&["lab", "run", &small, "--stage", "processes", "--json", &json]);
+    // On a machine busy with other tests the rig may say that it was late; a broken rule then says nothing either.
+    assert!(matches!(output.status.code(), Some(0 | 4)), "{}", said(&output));
+    let runs: serde_json::Value =
+        serde_json::from_str(&fs::read_to_string(&json).expect("runs")).expect("JSON");
+    let one = &runs["runs"][0];
+    assert!(
+        one["asked"].as_u64().expect("a count") > 400 && one["faults"].as_array().expect("faults").len() == 6
+    );
+    let delivered = one["ends"]["delivered"].as_u64().expect("a count") as f64;
+    assert!(delivered > 0.7 * one["taken"].as_u64().expect("a count") as f64, "{}", said(&output));
+    assert!(one["ends"].get("open").is_none(), "{}", said(&output));
+    let output = run(&["lab", "report", &json, "--html", &page]);
+    let page = fs::read_to_string(&page).expect("a page");
+    assert!(output.status.success() && page.contains("2: sender 3: stopped"));
+    let output = run(&["lab", "run", &small, "--stage", "virtual"]);
+    assert!(said(&output).contains("only --stage processes"), "{}", said(&output));
+    _ = fs::remove_dir_all(folder);
+}
+
 #[test]
 fn complaints_name_place_and_field_and_have_their_own_exit_code() {
     let folder = folder("complaints");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod platform;
 pub mod policy;
+pub mod processes;
 pub mod report;
 pub mod scenario;
 pub mod simulated;
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -1,6 +1,7 @@
 //! What a run came to: figures, breaches, accounts and series, as they are kept in JSON.
 
 use crate::judge::{Breach, Rule};
+use crate::processes::faults::Fault;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -28,6 +29,9 @@
     pub breaches: Vec<Breach>,
     pub breach_counts: BTreeMap<String, u64>,
     pub falls: Vec<FallSeen>,
+    /// What was put out of order between and under processes.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
     pub gateways: Vec<GatewaySeen>,
     /// From the planned moment of a text to its delivery, in ms: a client held up counts in full.
     pub latency_ms: Percentiles,
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -105,6 +105,32 @@
     }
 }
 
+/// A bar for each fault over the seconds of the run, as wide as the plots.
+fn time_line(run: &Outcome) -> String {
+    const ROW: f64 = 20.0;
+    let (left, right) = (52.0, f64::from(WIDE) - 8.0);
+    let last = run.faults.iter().map(|fault| fault.at_s + fault.for_s);
+    let seconds = last.fold(run.series.asked.len().saturating_sub(1).max(1) as f64, f64::max);
+    let x = |at: f64| left + (right - left) * at / seconds;
+    let high = ROW * run.faults.len() as f64 + 6.0;
+    let mut svg = format!("<svg width={WIDE} height={high} xmlns=\"http://www.w3.org/2000/svg\">");
+    for (row, fault) in run.faults.iter().enumerate() {
+        let (from, to) = (x(fault.at_s), x(fault.at_s + fault.for_s));
+        let (top, wide) = (row as f64 * ROW + 3.0, (to - from).max(2.0));
+        let text = if from < right * 0.6 { (to + 4.0, "start") } else { (from - 4.0, "end") };
+        _ = write!(
+            svg,
+            "<rect x={from:.1} y={top:.1} width={wide:.1} height=14 fill=\"#c7541e\"/>\
+             <text x={:.1} y={:.1} font-size=11 text-anchor={}>{row}: {}</text>",
+            text.0,
+            top + 11.0,
+            text.1,
+            escape(&fault.to_string())
+        );
+    }
+    svg + "</svg><p class=small>Faults between and under processes, over the same seconds.</p>"
+}
+
 fn one_run(page: &mut String, run: &Outcome) -> Result<(), String> {
     let w = |page: &mut String, text: String| page.push_str(&text);
     w(
@@ -148,6 +174,9 @@
         page,
         plot("Service by when texts were asked for; red: a broken rule", "part", &curve, &marks, Some(1.05))?,
     );
+    if !run.faults.is_empty() {
+        w(page, time_line(run));
+    }
     let totals = [("asked", &run.series.asked), ("delivered", &run.series.delivered)];
     let curves: Vec<_> =
         totals.iter().map(|(name, values)| ((*name).to_owned(), (*values).clone())).collect();
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,5 +1,6 @@
 //! Scenarios: what is rehearsed, read from TOML and checked whole before anything is played.
 
+use crate::processes::faults::{Draw, Fault, Sizes, draw};
 use indigomast::time::Span;
 use indigomast_gateway as gateway;
 use serde::Deserialize;
@@ -34,6 +35,12 @@
     pub troubles: Vec<Spanned<Trouble>>,
     #[serde(default)]
     pub burden: Burden,
+    /// Between and under processes; only that stage carries them out.
+    #[serde(default)]
+    pub faults: Vec<Spanned<Fault>>,
+    /// How many more are drawn by the run's seed.
+    #[serde(default)]
+    pub nemesis: Option<Draw>,
 }
 
 fn one() -> u64 {
@@ -455,6 +462,17 @@
         self.destinations.iter().map(|run| run.get_ref().count).sum()
     }
 
+    pub fn sizes(&self) -> Sizes {
+        Sizes { senders: self.fleet.senders, destinations: self.destinations() }
+    }
+
+    /// The faults of a run of this seed: those that are listed, and those drawn.
+    pub fn plan_of_faults(&self, seed: u64) -> Vec<Fault> {
+        let mut plan: Vec<Fault> = self.faults.iter().map(|fault| fault.get_ref().clone()).collect();
+        plan.extend(self.nemesis.iter().flat_map(|nemesis| draw(nemesis, &self.sizes(), seed)));
+        plan
+    }
+
     fn check(&self, line: &dyn Fn(usize) -> usize) -> Result<(), Complaint> {
         let more = |field: &str, value: f64, least: f64| {
             let fine = value.is_finite() && value > least;
@@ -557,6 +575,25 @@
                 return Err(format!("burden.strangers.addresses: {} is not 1 to 10000", strangers.addresses));
             }
         }
+        for (at, fault) in self.faults.iter().enumerate() {
+            let (place, fault) = (place("faults", at, fault.span().start), fault.get_ref());
+            if !(fault.at_s >= 0.0 && fault.for_s >= 0.0) {
+                return Err(format!("{place}.at_s: times are 0 or more"));
+            }
+            if let Some(unknown) = fault.unknown(&self.sizes()) {
+                return Err(format!("{place}.what: {unknown} is not there"));
+            }
+        }
+        if let Some(Draw { from_s, until_s, least_s, most_s, .. }) = self.nemesis {
+            if !(0.0 <= least_s && least_s <= most_s && most_s.is_finite()) {
+                return Err(format!("nemesis.most_s: {most_s} has to be {least_s} (least_s) or more"));
+            }
+            if !(0.0 <= from_s && from_s + most_s <= until_s) {
+                return Err(format!(
+                    "nemesis.until_s: {until_s} leaves no room for {most_s} s from {from_s} s on"
+                ));
+            }
+        }
         let known = self.destinations();
         let within = |field: String, list: &[usize], most: usize| match list.iter().find(|n| **n >= most) {
             Some(wrong) => Err(format!("{field}: {wrong} is not there; the last is {}", most - 1)),
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -609,7 +609,7 @@
         let parts: Vec<TextId> = out.parts.iter().map(|(text, _)| *text).collect();
         let owed = &self.carriers[sender].owed;
         let texts: Vec<TextNo> = parts.iter().filter_map(|id| Some(owed.get(id)?.number)).collect();
-        self.put_seen(now + self.net, Seen::Call { call, link, texts });
+        self.put_seen(now + self.net, Seen::Call { call, link, texts, left: None });
         self.put(by.max(now), Ev::TimeOut { call });
     }
 
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -2,6 +2,8 @@
 
 use super::Mailbox;
 use crate::platform;
+use crate::processes::faults::End;
+use crate::processes::network::Network;
 use crate::world::{Member, Noticed, Seen, World};
 use indigomast::api::EndpointId;
 use indigomast::time::Span;
@@ -34,6 +36,7 @@
     state: Mutex<State>,
     changed: Condvar,
     kinds: Vec<String>,
+    network: Option<Arc<Network>>,
 }
 
 pub struct Discovery {
@@ -55,10 +58,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn page(&self, state: &State, complete: bool, members: &[Member]) -> Value {
+    /// As one sender finds it: over lines each has addresses of its own.
+    fn page(&self, sender: usize, state: &State, complete: bool, members: &[Member]) -> Value {
         let none = SocketAddr::from(([127, 0, 0, 1], 1));
         let entries = members.iter().map(|member| {
             let address = state.addresses.get(&member.endpoint).copied().unwrap_or(none);
+            let line = self.network.as_ref().map(|network| {
+                network.way(End::Sender(sender), End::Destination(member.dest.0), address, false)
+            });
+            let address = line.map_or(address, |line| line.unwrap_or(none));
             platform::entry(member, &self.kinds[member.kind], address)
         });
         json!({"revision": state.revision, "complete": complete, "members": entries.collect::<Vec<_>>()})
@@ -71,15 +79,20 @@
         kinds: Vec<String>,
         world: &World,
         addresses: BTreeMap<EndpointId, SocketAddr>,
+        network: Option<Arc<Network>>,
         mailbox: &Mailbox,
     ) -> Result<Discovery, String> {
         let (revision, whole) = world.listing();
         let state = State { revision, whole, changes: Vec::new(), addresses };
-        let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new(), kinds });
+        let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new(), kinds, network });
         let mut own = Vec::new();
         for sender in 0..senders {
             let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("the list's port: {e}"))?;
-            own.push(listener.local_addr().map_err(|e| e.to_string())?);
+            let address = listener.local_addr().map_err(|e| e.to_string())?;
+            own.push(match &shared.network {
+                Some(network) => network.way(End::Sender(sender), End::Platform, address, false)?,
+                None => address,
+            });
             let (shared, mailbox) = (Arc::clone(&shared), mailbox.clone());
             let accept = move || {
                 for stream in listener.incoming().flatten() {
@@ -98,9 +111,9 @@
     }
 
     /// The list as a sender finds it in its configuration.
-    pub fn known(&self) -> Value {
+    pub fn known(&self, sender: usize) -> Value {
         let state = self.shared.lock();
-        self.shared.page(&state, true, &state.whole)
+        self.shared.page(sender, &state, true, &state.whole)
     }
 
     /// Takes over what senders may see by now.
@@ -123,7 +136,7 @@
 }
 
 /// The list or its changes; the answer and the version that it tells.
-fn list(request: &Request, shared: &Shared) -> (String, u64) {
+fn list(sender: usize, request: &Request, shared: &Shared) -> (String, u64) {
     let from = number(&request.path, "from");
     let hold = Duration::from_millis(number(&request.path, "hold_ms").unwrap_or(0)).min(HOLD_MOST);
     let by = Instant::now() + hold;
@@ -143,9 +156,9 @@
                 members.extend(changes.iter().map(|member| (member.endpoint, member.clone())));
             }
             let members: Vec<Member> = members.into_values().collect();
-            shared.page(&state, false, &members)
+            shared.page(sender, &state, false, &members)
         }
-        None => shared.page(&state, true, &state.whole),
+        None => shared.page(sender, &state, true, &state.whole),
     };
     (page.to_string(), state.revision)
 }
@@ -161,14 +174,16 @@
     let (mut ring, mut out) = (Ring::default(), Ring::default());
     let limits = Limits { body: 1 << 20, ..Limits::of(grant) };
     _ = stream.set_nodelay(true);
+    let peer = stream.peer_addr().ok();
+    let trail = shared.network.as_ref().zip(peer).and_then(|(network, peer)| network.trail(peer));
     loop {
         while let Ok(Some(request)) = take_request(&mut ring, &limits) {
             let path = request.path.split('?').next().unwrap_or_default();
             match (request.method.as_str(), path) {
                 ("GET", "/discovery/hosts") => {
-                    let (page, revision) = list(&request, shared);
+                    let (page, revision) = list(sender, &request, shared);
                     // Told from the moment it is written: what the sender does next may hang on it.
-                    mailbox.tell(Seen::ListTold { sender, revision });
+                    mailbox.tell_over(trail.as_deref(), Seen::ListTold { sender, revision });
                     put_answer(&mut out, 200, &page, false);
                 }
                 ("POST", "/reports") => match notices(&request.body) {
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -294,3 +294,58 @@
     assert_eq!((breach.of.as_str(), breach.at_ms), ("text 000000000000001f", 20.0));
     assert!(breach.evidence.contains("submit 2"), "{}", breach.evidence);
 }
+
+#[test]
+fn a_text_whose_client_had_no_answer_goes_when_its_sender_likes() {
+    let mut case = Case::new();
+    case.text(1, Kind::Resendable, Some(7), 1).text(2, Kind::Resendable, Some(7), 1);
+    // The client was not told that the first was taken on, and handed it in again as the second.
+    case.0.answered(TextNo(1), false);
+    case.call(100.0, 1).back(150.0, 1, CallEnd::Delivered);
+    case.call(160.0, 2).back(200.0, 2, CallEnd::Delivered);
+    assert_eq!(case.broken(), []);
+}
+
+#[test]
+fn over_a_line_a_delivery_counts_from_when_its_sender_heard_of_it() {
+    let lines = |heard: Option<f64>, again: f64| {
+        let mut case = Case::new();
+        case.text(1, Kind::Resendable, None, 1).call(100.0, 1).back(150.0, 1, CallEnd::Delivered);
+        case.0.may_not_have_heard(TextNo(1));
+        heard.into_iter().for_each(|ms| case.0.heard(at(ms), TextNo(1)));
+        case.call(again, 1).back(again + 10.0, 1, CallEnd::Delivered);
+        case.broken()
+    };
+    assert_eq!(lines(None, 900.0), [], "it never heard");
+    assert_eq!(lines(Some(500.0), 500.5), [], "the call had left by then");
+    assert_eq!(lines(Some(500.0), 600.0), [Rule::OneAnswer]);
+}
+
+#[test]
+fn a_call_that_a_line_held_back_counts_as_a_submit_and_for_nothing_else() {
+    let mut case = Case::new();
+    case.text(1, Kind::OnceOnly, Some(3), 1).text(2, Kind::OnceOnly, Some(3), 2);
+    case.call(100.0, 1).back(150.0, 1, CallEnd::MayHaveRun).notice(200.0, 1, End::Undeliverable);
+    case.call(300.0, 2).back(350.0, 2, CallEnd::Delivered);
+    case.0.called_late(at(900.0), &[TextNo(1)]);
+    assert_eq!(case.broken(), []);
+    (0..2).for_each(|n| case.0.called_late(at(1000.0 + f64::from(n)), &[TextNo(1)]));
+    assert_eq!(case.broken(), [Rule::Submits]);
+}
+
+#[test]
+fn one_held_up_has_its_time_after_the_last_of_spells_that_overlap() {
+    let ended = |ms: f64| {
+        let mut case = Case::new();
+        case.text(1, Kind::Resendable, None, 1);
+        case.0.held_up(0, at(9_000.0), at(12_000.0));
+        case.0.held_up(0, at(13_000.0), at(15_000.0));
+        case.0.held_up(0, at(40_000.0), at(50_000.0));
+        case.notice(ms, 1, End::Undeliverable);
+        case.0.close(&[]);
+        case.broken()
+    };
+    // 15 s, its 1.5 s for recovery, and the slack.
+    assert_eq!(ended(16_500.0), []);
+    assert_eq!(ended(16_503.0), [Rule::OneAnswer]);
+}
--- a/crates/lab/tests/scenario.rs
+++ b/crates/lab/tests/scenario.rs
@@ -68,6 +68,20 @@
         let complaint = Scenario::parse(&format!("{GOOD}\n[[troubles]]\n{trouble}\n")).expect_err(trouble);
         assert!(complaint.contains(expected), "{trouble}: {complaint}");
     }
+    for (fault, expected) in [
+        ("[[faults]]\nat_s = 1\nfor_s = 1\nwhat = { kill = { sender = 2 } }", "faults[0].what: sender 2"),
+        ("[[faults]]\nat_s = -1\nfor_s = 1\nwhat = { kill = { sender = 0 } }", "faults[0].at_s"),
+        ("[[faults]]\nat_s = 1\nfor_s = 1\nwhat = { burn = { sender = 0 } }", "unknown variant `burn`"),
+        (
+            "[[faults]]\nat_s = 1\nfor_s = 1\nwhat = { reset = { between = { to = [{ destination = 3 }] } } }",
+            "destination 3 is not there",
+        ),
+        ("[nemesis]\ncount = 1\nfrom_s = 1\nuntil_s = 3\nleast_s = 1\nmost_s = 9", "nemesis.until_s"),
+        ("[nemesis]\ncount = 1\nfrom_s = 1\nuntil_s = 9\nleast_s = 3\nmost_s = 2", "nemesis.most_s"),
+    ] {
+        let complaint = Scenario::parse(&format!("{GOOD}\n{fault}\n")).expect_err(fault);
+        assert!(complaint.contains(expected), "{fault}: {complaint}");
+    }
     let burst = format!("{GOOD}\n[burden]\nbursts = [{{ at_s = 1, connections = 500 }}]\n");
     assert!(!Scenario::parse(&burst).expect("good").burden.is_none());
     assert!(Scenario::parse(GOOD).is_ok());
