Senders tell version, formats and settings; a floor says from where nobody goes back

Way not taken: format numbers inside each file only; a program finds out too late, after it has begun to write.

Change: crates/sender/src/versions.rs: each format has a range that is read, the folder's floor says what is written, PUT /ops/floor raises it durably, a program that doesn't read it is refused at the start before it touches anything. GET /ops/version, GET /ops/report (counts by product and times in bins, for comparing senders); first log lines say version, formats, settings revision and the second address.

--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -109,6 +109,8 @@
 /// A file that was read and is sound by itself.
 pub struct Installation {
     pub file: String,
+    /// Tells the file from others.
+    revision: u32,
     pub fields: Vec<Field>,
     pub log: LogSettings,
     pub state: PathBuf,
@@ -157,6 +159,7 @@
         }
         let mut installation = read.value;
         (installation.file, installation.fields) = (file.to_owned(), read.fields);
+        installation.revision = indigomast_sender::versions::revision(text);
         Ok(installation)
     }
 
@@ -212,6 +215,7 @@
                     site,
                     known: nobody,
                     keys,
+                    revision: self.revision,
                 });
             }
         };
@@ -224,7 +228,20 @@
         let outside = Outside::Own { source, reporter };
         let (name, listen, state, seed) = (self.name, self.listen, self.state, self.seed);
         let (control, passed, keys) = Default::default();
-        Ok(Config { name, listen, control, passed, outside, state, seed, limits, site, known, keys })
+        Ok(Config {
+            name,
+            listen,
+            control,
+            passed,
+            outside,
+            state,
+            seed,
+            limits,
+            site,
+            known,
+            keys,
+            revision: self.revision,
+        })
     }
 }
 
@@ -433,6 +450,7 @@
     let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
     Installation {
         file: String::new(),
+        revision: 0,
         fields: Vec::new(),
         log,
         state,
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -4,6 +4,7 @@
 use crate::limits::{ClientRules, Grant, JournalRules, Limits};
 use crate::list::{self, Listing, Source};
 use crate::notices::Reporter;
+use crate::versions;
 use indigomast_site::{BootInfo, Complaint, Names, read};
 use serde::Deserialize;
 use serde_json::Value;
@@ -37,6 +38,8 @@
     pub known: Listing,
     /// What the file it came from says, but not its values.
     pub keys: Keys,
+    /// Tells it from other files.
+    pub revision: u32,
 }
 
 /// Where the list comes from, and who is told how texts ended.
@@ -260,6 +263,7 @@
             site,
             known,
             keys: Keys::of(text),
+            revision: versions::revision(text),
         })
     }
 
--- a/crates/sender/src/control.rs
+++ b/crates/sender/src/control.rs
@@ -4,18 +4,22 @@
 //! nobody. It knows readiness and figures without asking anyone; what changes something goes to the decider, whose
 //! answer is waited for no longer than a caller waits. `docs/operate/operations.md` tells how it is used.
 
+use crate::counters::Counters;
 use crate::decider::Word;
 use crate::figures::Figures;
 use crate::http::{self, Rejection};
 use crate::limits::Limits;
 use crate::lobby::Come;
 use crate::ring::Ring;
+use crate::versions::{FORMATS, Floor, Format, VERSION};
 use crate::{Mailbox, log};
 use crossbeam_channel::{Receiver, Sender, TryRecvError, bounded};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, PipeReader};
 use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
@@ -40,6 +44,11 @@
 /// What the actor shares with the rest of its sender.
 pub struct Desk {
     pub limits: Limits,
+    pub name: String,
+    /// Where the floor is kept.
+    pub folder: PathBuf,
+    pub floor: Floor,
+    pub counters: Arc<Counters>,
     pub figures: Arc<Figures>,
     /// Whether this process takes texts and owns what it needs.
     pub ready: Arc<AtomicBool>,
@@ -61,7 +70,7 @@
 
 impl Desk {
     /// Serves until the other end of `ends` is gone.
-    pub fn run(self, listener: TcpListener, ends: PipeReader) {
+    pub fn run(mut self, listener: TcpListener, ends: PipeReader) {
         if let Err(e) = listener.set_nonblocking(true) {
             return log!("nobody can be heard at the second address: {e}");
         }
@@ -119,7 +128,7 @@
         }
     }
 
-    fn serve(&self, caller: &mut Caller) -> Turn {
+    fn serve(&mut self, caller: &mut Caller) -> Turn {
         if let Some((answer, by)) = &caller.asked {
             let status = match answer.try_recv() {
                 Ok(Ok(())) => 200,
@@ -155,22 +164,80 @@
         }
     }
 
-    fn answer(&self, caller: &mut Caller, method: &str, path: &str, body: &[u8]) -> Turn {
+    fn answer(&mut self, caller: &mut Caller, method: &str, path: &str, body: &[u8]) -> Turn {
         match (method, path) {
             ("GET" | "HEAD", "/ops/readiness") => {
                 let status = if self.ready.load(Ordering::Relaxed) { 200 } else { 503 };
                 self.say(caller, status, "")
             }
             ("GET", "/ops/stats") => self.say(caller, 200, &self.figures.lines()),
+            ("GET", "/ops/version") => self.say(caller, 200, &self.version().to_string()),
+            ("GET", "/ops/report") => self.say(caller, 200, &self.report().to_string()),
+            ("PUT", "/ops/floor") => self.raise(caller),
             ("PUT", "/ops/endpoints/down") => self.order(caller, body, true),
             ("PUT", "/ops/endpoints/up") => self.order(caller, body, false),
-            (_, "/ops/readiness" | "/ops/stats" | "/ops/endpoints/down" | "/ops/endpoints/up") => {
-                self.say(caller, 405, "")
-            }
+            (
+                _,
+                "/ops/readiness"
+                | "/ops/stats"
+                | "/ops/version"
+                | "/ops/report"
+                | "/ops/floor"
+                | "/ops/endpoints/down"
+                | "/ops/endpoints/up",
+            ) => self.say(caller, 405, ""),
             _ => self.say(caller, 404, ""),
         }
     }
 
+    /// What this process is, and what it agrees on with others.
+    fn version(&self) -> Value {
+        let formats = FORMATS.map(|format| {
+            let Format { name, oldest, newest } = format;
+            json!({"name": name, "oldest": oldest, "newest": newest, "writes": self.floor.of(name)})
+        });
+        json!({
+            "name": self.name,
+            "version": VERSION,
+            "revision": format!("{:08x}", self.figures.revision()),
+            "formats": formats,
+            "process": std::process::id(),
+        })
+    }
+
+    /// The same, and how it fares: for those who compare senders.
+    fn report(&self) -> Value {
+        let Counters { taken, turned_away, calls, submitted, full, errors, time_outs, .. } = &*self.counters;
+        let mut told = self.version();
+        told["ready"] = self.ready.load(Ordering::Relaxed).into();
+        told["taken"] = taken.value().into();
+        told["sent_away"] = turned_away.value().into();
+        told["calls"] = calls.value().into();
+        told["submits"] = submitted.value().into();
+        told["turned_away"] = full.value().into();
+        told["errors"] = errors.value().into();
+        told["time_outs"] = time_outs.value().into();
+        told["products"] = self.figures.by_product();
+        told
+    }
+
+    /// A change is final: from now on this folder is for programs that read what this one may write.
+    fn raise(&mut self, caller: &mut Caller) -> Turn {
+        if !self.ready.load(Ordering::Relaxed) {
+            return self.say(caller, 503, "");
+        }
+        match Floor::raise(&self.folder, &FORMATS) {
+            Ok(floor) => {
+                self.floor = floor;
+                self.say(caller, 200, "")
+            }
+            Err(e) => {
+                log!("the floor can't be raised: {e}");
+                self.say(caller, 503, "")
+            }
+        }
+    }
+
     fn order(&self, caller: &mut Caller, body: &[u8], out: bool) -> Turn {
         let Some(endpoint) = std::str::from_utf8(body).ok().map(str::trim).filter(|id| !id.is_empty()) else {
             return self.say(caller, 400, "");
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -494,7 +494,8 @@
                         && owed.report.is_none()
                     {
                         if outcome.verdict == Verdict::Delivered {
-                            self.ends_of(&owed.info.product).answered.add(1);
+                            let took = self.clock.now().as_millis() - owed.taken_ms();
+                            self.ends_of(&owed.info.product).delivered(took);
                         }
                         self.over(outcome.text);
                     }
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -2,6 +2,7 @@
 //!
 //! Each count is made in one place, where the thing happens. Reading them waits for nobody.
 
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,6 +18,19 @@
     pub deferred: Counter,
     /// Undeliverable.
     pub errored: Counter,
+    /// Delivered, by how long that took from taking on: bin `n` holds those under 2 to the power of `n / 2` milliseconds.
+    took: [Counter; BINS],
+}
+
+/// The last bin is for all that took longer.
+pub const BINS: usize = 32;
+
+impl Ends {
+    pub fn delivered(&self, took_ms: f64) {
+        self.answered.add(1);
+        let bin = (took_ms.max(1.0).log2() * 2.0).floor() as usize + 1;
+        self.took[bin.min(BINS - 1)].add(1);
+    }
 }
 
 #[derive(Debug, Default)]
@@ -29,6 +43,8 @@
     pub invalid: Counter,
     /// Texts taken on whose end is owed or not yet told.
     current: AtomicU64,
+    /// Of the configuration in force.
+    revision: AtomicU64,
     listed: AtomicU64,
     avoided: AtomicU64,
 }
@@ -40,6 +56,30 @@
         Arc::clone(products.entry(name.to_owned()).or_default())
     }
 
+    pub fn is_at(&self, revision: u32) {
+        self.revision.store(revision.into(), Ordering::Relaxed);
+    }
+
+    pub fn revision(&self) -> u32 {
+        self.revision.load(Ordering::Relaxed) as u32
+    }
+
+    /// Counts by product, for those who compare senders with one another.
+    pub fn by_product(&self) -> serde_json::Value {
+        let products = self.products.lock().unwrap_or_else(PoisonError::into_inner);
+        let rows = products.iter().map(|(name, ends)| {
+            let took: Vec<u64> = ends.took.iter().map(Counter::value).collect();
+            let counts = json!({
+                "delivered": ends.answered.value(),
+                "nacked": ends.deferred.value(),
+                "undeliverable": ends.errored.value(),
+                "took": took,
+            });
+            (name.clone(), counts)
+        });
+        serde_json::Value::Object(rows.collect())
+    }
+
     pub fn holds(&self, texts: usize) {
         self.current.store(texts as u64, Ordering::Relaxed);
     }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod terms;
 pub mod texts_log;
 pub mod threads;
+pub mod versions;
 pub mod wal;
 
 use ::log::LevelFilter;
@@ -52,6 +53,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use versions::{FORMATS, Floor, VERSION};
 
 /// The way to the decider.
 pub type Mailbox = crossbeam_channel::Sender<decider::Word>;
@@ -62,6 +64,8 @@
     pub figures: Arc<Figures>,
     /// Where clients connect.
     pub address: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub control: Option<SocketAddr>,
     stopper: Stopper,
     reloader: Reloader,
     ended: Receiver<threads::Ended>,
@@ -128,7 +132,7 @@
     fn take(&self, config: Config) -> Result<(), String> {
         let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
         config.follows(&self.in_force.get(), &keys, self.listen)?;
-        let Config { outside, site, keys: now, .. } = config;
+        let Config { outside, site, keys: now, revision, .. } = config;
         let (reply, answer) = bounded(1);
         let change = decider::Word::Settings(Box::new(decider::Change { site, reply }));
         let unheard = "the sender is too busy to take them over";
@@ -136,6 +140,7 @@
         // Once it is in the mailbox it is taken over, however late.
         answer.recv().map_err(|_| unheard)??;
         *keys = now;
+        self.figures.is_at(revision);
         if let (Some(platform), Outside::Platform(discovery)) = (&self.platform, &outside) {
             platform.moves(*discovery);
         }
@@ -161,11 +166,27 @@
 
     /// The same, but gives up waiting for another process as soon as it is told to.
     pub fn start_unless(config: Config, told: &mut dyn FnMut() -> bool) -> Result<Sender, String> {
-        let Config { listen, control, passed, outside, state, seed, limits, mut site, known, keys, .. } =
-            config;
+        let Config {
+            name,
+            listen,
+            control,
+            passed,
+            outside,
+            state,
+            seed,
+            limits,
+            mut site,
+            known,
+            keys,
+            revision,
+        } = config;
         let clock = Clock::start();
         let counters = Arc::<Counters>::default();
         let figures = Arc::<Figures>::default();
+        figures.is_at(revision);
+        // Before anything of another version's is touched.
+        let floor = Floor::read(&state).and_then(|floor| floor.admits(&FORMATS).map(|()| floor));
+        let floor = floor.map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
         let ready = Arc::<AtomicBool>::default();
         let (decider, words) = bounded(limits.mailbox);
         let (over, ended) = bounded(8);
@@ -179,12 +200,18 @@
             }
             None => None,
         };
+        let mut called_at = None;
         let control = match callers {
             Some(listener) => {
+                called_at = listener.local_addr().ok();
                 let (ends, alive) = pipe().map_err(|e| format!("control: {e}"))?;
                 let desk = control::Desk {
                     limits: control::bounds(&limits),
+                    name,
+                    folder: state.clone(),
+                    floor: floor.clone(),
                     figures: Arc::clone(&figures),
+                    counters: Arc::clone(&counters),
                     ready: Arc::clone(&ready),
                     decider: decider.clone(),
                 };
@@ -301,7 +328,17 @@
         threads::actor("intake", stack, &over, move || door.run(listener, shared)).map_err(threadless)?;
         ready.store(true, Ordering::Relaxed);
         let stopper = Stopper { decider, stopping, ready, intake };
-        Ok(Sender { counters, figures, address, stopper, reloader, ended, shared, _control: control })
+        Ok(Sender {
+            counters,
+            figures,
+            address,
+            control: called_at,
+            stopper,
+            reloader,
+            ended,
+            shared,
+            _control: control,
+        })
     }
 
     pub fn stopper(&self) -> Stopper {
@@ -392,6 +429,12 @@
         Err(_) if stop => return Ok(()),
         started => started?,
     };
+    let formats = FORMATS.map(|format| format!("{} {}-{}", format.name, format.oldest, format.newest));
+    let revision = sender.figures.revision();
+    log!("{name} is indigomast {VERSION}, formats {}, settings {revision:08x}", formats.join(", "));
+    if let Some(control) = sender.control {
+        log!("{name} is asked and told at {control}");
+    }
     log!("{name} listens on {}", sender.address);
     let (counters, stopper, reloader) = (Arc::clone(&sender.counters), sender.stopper(), sender.reloader());
     let watch = move || {
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -5,5 +5,6 @@
 mod operations;
 mod owed;
 mod parts;
+mod samples;
 mod sockets;
 mod succession;
--- a/crates/sender/tests/sender/operations.rs
+++ b/crates/sender/tests/sender/operations.rs
@@ -310,3 +310,68 @@
     let (code, said) = complaint(command);
     assert!(code == Some(1) && said.contains("ROUTER_CONTROL"), "{said}");
 }
+
+#[test]
+fn a_sender_tells_what_it_is_and_how_it_fares() {
+    let world = world();
+    let daemon = world.start();
+    let asked = |path: &str| -> Value {
+        let (status, body) = call(world.control, "GET", path, "");
+        assert_eq!(status, 200, "{path}");
+        serde_json::from_str(&body).expect("JSON")
+    };
+    let told = asked("/ops/version");
+    let file = std::fs::read_to_string(world.folder.0.join("config.json")).expect("the file");
+    let revision = format!("{:08x}", indigomast_sender::versions::revision(&file));
+    assert_eq!(told["revision"], json!(revision));
+    assert_eq!(
+        (&told["name"], &told["version"]),
+        (&json!("n0"), &json!(indigomast_sender::versions::VERSION))
+    );
+    assert_eq!(told["formats"][0], json!({"name": "journal", "oldest": 1, "newest": 1, "writes": 1}));
+    for id in ["a", "b"] {
+        assert_eq!(daemon.hand_in("free", id, 0), 202);
+        let visit = (0..).find_map(|turn| world.endpoints[turn % 2].next_within(Duration::from_millis(20)));
+        visit.expect("it comes").status(200);
+    }
+    daemon.counts("delivered", 2);
+    let report = asked("/ops/report");
+    assert_eq!(
+        (&report["taken"], &report["submits"], &report["ready"]),
+        (&json!(2), &json!(2), &json!(true))
+    );
+    let free = &report["products"]["free"];
+    assert_eq!(free["delivered"], json!(2));
+    let took = free["took"].as_array().expect("bins").iter().filter_map(Value::as_u64);
+    assert_eq!(took.sum::<u64>(), 2, "each in one bin");
+    // A file that is put in force is the one that is told of; one that is turned down isn't.
+    let other = file.replace("\"seed\"", " \"seed\"");
+    world.reload(&daemon, &other);
+    world.shows("conf_loaded", 1);
+    let revision = format!("{:08x}", indigomast_sender::versions::revision(&other));
+    assert_eq!(asked("/ops/version")["revision"], json!(revision));
+    world.reload(&daemon, "{");
+    world.shows("conf_invalid", 1);
+    assert_eq!(asked("/ops/version")["revision"], json!(revision));
+}
+
+#[test]
+fn below_a_floor_that_was_raised_no_program_starts() {
+    let world = world();
+    let mut daemon = world.start();
+    assert!(!world.folder.state().join("floor").exists(), "nothing is written before it is asked for");
+    assert_eq!(call(world.control, "PUT", "/ops/floor", "").0, 200);
+    let floor = std::fs::read_to_string(world.folder.state().join("floor")).expect("a floor");
+    assert!(floor.contains("journal 1"), "{floor}");
+    daemon.kill();
+    drop(world.start());
+    // As a later version raises it.
+    let later = floor.replace("journal 1", "journal 2");
+    let lines = &later[later.find('\n').expect("lines") + 1..later.rfind("sum").expect("a sum")];
+    let raised =
+        format!("indigomast floor 1\n{lines}sum {:08x}\n", indigomast_sender::versions::revision(lines));
+    std::fs::write(world.folder.state().join("floor"), raised).expect("written");
+    let (code, said) = complaint(command(&world.config, &world.folder));
+    assert_eq!(code, Some(1));
+    assert!(said.contains("floor: journal is at 2") && said.contains("no way back"), "{said}");
+}
