--- a/crates/rollout/src/steering.rs
+++ b/crates/rollout/src/steering.rs
@@ -399,8 +399,10 @@
     fn steer(&mut self) {
         let back = matches!(self.phase, Phase::GoingBack | Phase::Reverted | Phase::Halted);
         let is_away = |member: &Member| {
-            let gone = member.told.is_none_or(|told| !told.serving || told.accepted > told.done);
-            member.unsure || matches!(member.order, Some(Ask::Take(_))) || (gone && !back)
+            let at_work = member.told.is_some_and(|told| told.accepted > told.done);
+            let gone = member.told.is_none_or(|told| !told.serving);
+            let asked = matches!(member.order, Some(Ask::Take(_)));
+            member.unsure || asked || at_work || (gone && !back)
         };
         let mut away = self.members.iter().filter(|member| is_away(member)).count();
         for at in 0..self.members.len() {
