indigomast keep and rollout: real processes changed in stages, halted and taken back

`indigomast keep`, `indigomast rollout check|start|status|halt| go-on|back|give-up|report`, exit code 6 for a change that did not come to its end.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,7 +2,7 @@
 //!
 //! Reports go to standard output, progress and errors to standard error. Exit codes: 0 all went well; 1 something
 //! can't be used or done, said in one line; 2 the command line can't be read; 3 a rule was broken; 4 the rig itself
-//! ran late, so that the run says nothing; 5 a journal is damaged; 130 interrupted.
+//! ran late, so that the run says nothing; 5 a journal is damaged; 6 a change was halted or taken back; 130 interrupted.
 
 mod account;
 mod demo;
@@ -10,6 +10,7 @@
 mod install;
 mod journal;
 mod lab;
+mod rollout;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -67,6 +68,13 @@
         #[command(subcommand)]
         command: journal::Command,
     },
+    /// Keep a sender on this machine: start it, start it again, have another take its place, as a rollout orders
+    Keep { file: PathBuf },
+    /// Change program or settings of many senders in stages, old and new side by side
+    Rollout {
+        #[command(subcommand)]
+        command: rollout::Command,
+    },
     /// Run the sender itself, told by ROUTER_CONFIG and ROUTER_STATE
     Daemon,
 }
@@ -79,6 +87,8 @@
     Interrupted,
     /// A journal has lost something.
     Damaged,
+    /// A change in stages did not come to its end.
+    TakenBack,
 }
 
 impl From<String> for Failure {
@@ -126,6 +136,8 @@
         Command::Emulate(arguments) => emulate::run(arguments),
         Command::Account { folder, span } => account::run(&folder, span),
         Command::Journal { command } => journal::run(command),
+        Command::Keep { file } => rollout::keep(&file),
+        Command::Rollout { command } => rollout::run(command),
         Command::Daemon => indigomast_sender::run().map_err(Failure::Complaint),
     };
     match done {
@@ -140,6 +152,7 @@
             ExitCode::from(4)
         }
         Err(Failure::Damaged) => ExitCode::from(5),
+        Err(Failure::TakenBack) => ExitCode::from(6),
         Err(Failure::Interrupted) => ExitCode::from(130),
     }
 }
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -215,12 +215,17 @@
         vec![Act::Write(self.promised)]
     }
 
-    /// Whether it goes back by itself now: it has the new side, and nobody has spoken to it for too long.
+    /// Whether it goes back by itself now: it has the new side, and nobody has spoken to it for too long. It says so once in
+    /// that time, should it not come to it.
     pub fn gives_up(&mut self, now: Moment) -> bool {
         let heard = *self.heard.get_or_insert(now);
         let long = self.patience.is_some_and(|patience| now.since(heard) >= patience);
         let new = self.running == Some(Which::New) && !self.promised.sealed;
-        long && new && self.busy.is_none()
+        let gives_up = long && new && self.busy.is_none();
+        if gives_up {
+            self.heard = Some(now);
+        }
+        gives_up
     }
 
     pub fn is_busy(&self) -> bool {
--- a/crates/rollout/tests/parts.rs
+++ b/crates/rollout/tests/parts.rs
@@ -161,6 +161,7 @@
     assert!(!agent.gives_up(at(9000.0)), "the old side is no cause");
     agent.sees(Some(Which::New), true);
     assert!(agent.gives_up(at(9000.0)));
+    assert!(!agent.gives_up(at(9001.0)), "it has begun to");
     assert!(agent.look(at(9000.0), 1, 1).is_ok());
     assert!(!agent.gives_up(at(13_999.0)) && agent.gives_up(at(14_000.0)));
     let (mut sealed, _) = Agent::new(Promised { sealed: true, ..Promised::default() }, patience);
