--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -33,7 +33,7 @@
     let stop = interruption()?;
     let options = Options {
         daemons: vec![own_daemon()?],
-        faults: None,
+        faults: None, change: None,
         folder: run_folder(),
         keep: false,
         stop: stop.clone(),
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -5,8 +5,8 @@
 use indigomast_lab::compare::{compare, table};
 use indigomast_lab::outcome::{Outcome, Runs};
 use indigomast_lab::policy::{ALL, Name};
-use indigomast_lab::scenario::Scenario;
-use indigomast_lab::sockets::{self, Options, keeper};
+use indigomast_lab::scenario::{Rollout, Scenario};
+use indigomast_lab::sockets::{self, Change, Options, keeper};
 use indigomast_lab::{report, simulated};
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -44,6 +44,9 @@
         /// Another daemon than this program's own; given several times, senders take them in turn (sockets, processes)
         #[arg(long)]
         daemon: Vec<PathBuf>,
+        /// What the new side of a change runs, instead of the same program under another name (processes only)
+        #[arg(long)]
+        new: Option<PathBuf>,
         /// Play only these faults of the plan, by their numbers: to find the fewest that still fail (processes only)
         #[arg(long, value_delimiter = ',')]
         only: Option<Vec<usize>>,
@@ -118,6 +121,25 @@
     )
 }
 
+/// A change of program is one to a script that becomes the same program, unless another is named.
+fn change_of(rollout: Rollout, new: &Option<PathBuf>, folder: &Path) -> Result<Change, String> {
+    use std::os::unix::fs::PermissionsExt;
+    let program = own_daemon()?.program;
+    let new = match (new, rollout.settings.is_empty()) {
+        (Some(new), _) => Some(new.clone()),
+        (None, false) => None,
+        (None, true) => {
+            let path = folder.join("new-side");
+            let script = format!("#!/bin/sh\nexec '{}' \"$@\"\n", program.display());
+            let written = fs::create_dir_all(folder).and_then(|()| fs::write(&path, script));
+            let written = written.and_then(|()| fs::set_permissions(&path, fs::Permissions::from_mode(0o755)));
+            written.map_err(|e| format!("{}: {e}", path.display()))?;
+            Some(path)
+        }
+    };
+    Ok(Change { program, new, rollout })
+}
+
 pub fn run(command: Command) -> Done {
     match command {
         Command::Run {
@@ -177,7 +199,9 @@
                         None => plan,
                     });
                     let (daemons, halt) = (daemons.clone(), stop.clone());
-                    let options = Options { daemons, faults, folder, keep: keep.is_some(), stop: halt };
+                    let change = scenario.change.clone().filter(|_| stage == Stage::Processes);
+                    let change = change.map(|rollout| change_of(rollout, &new, &folder)).transpose()?;
+                    let options = Options { daemons, faults, change, folder, keep: keep.is_some(), stop: halt };
                     let outcome = sockets::run(&scenario, *seed, &options, &mut |_| {});
                     if keep.is_none() {
                         _ = fs::remove_dir(run_folder());
@@ -185,6 +209,12 @@
                     let outcome = outcome.map_err(|e| ended(e, &stop))?;
                     if !quiet {
                         println!("{}", line(&outcome));
+                        if let Some(change) = &outcome.change {
+                            let runs: Vec<String> = change.runs.iter().map(|(r, n)| format!("{n} by {r}")).collect();
+                            let wanted = if change.as_wanted { "as wanted" } else { "NOT AS WANTED" };
+                            let (out, took) = (&change.came_out, change.took_s);
+                            println!("    change: {out} after {took:.1} s, {wanted}; {}", runs.join(", "));
+                        }
                         for (at, fault) in outcome.faults.iter().enumerate() {
                             println!("    {at}: {:.1} s for {:.1} s: {fault}", fault.at_s, fault.for_s);
                         }
@@ -208,6 +238,9 @@
                 }
                 return Err(Failure::RuleBroken);
             }
+            if own().any(|run| run.change.as_ref().is_some_and(|change| !change.as_wanted)) {
+                return Err(Failure::TakenBack);
+            }
             if own().any(|run| !run.is_valid()) {
                 return Err(Failure::RigLate);
             }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -368,3 +368,21 @@
     assert_eq!(output.status.code(), Some(1), "{}", said(&output));
     _ = fs::remove_dir_all(folder);
 }
+
+#[test]
+fn a_change_that_does_worse_is_taken_back_through_deaths_and_a_partition() {
+    let folder = folder("change");
+    let json = folder.join("runs.json").display().to_string();
+    let output = run(&["lab", "run", &scenario("change-small"), "--stage", "processes", "--json", &json]);
+    // On a machine busy with other tests the rig may say that it was late; how the change came out counts all the same.
+    assert!(matches!(output.status.code(), Some(0 | 4)), "{}", said(&output));
+    let runs: serde_json::Value =
+        serde_json::from_str(&fs::read_to_string(&json).expect("runs")).expect("JSON");
+    let change = &runs["runs"][0]["change"];
+    assert_eq!((&change["came_out"], &change["as_wanted"]), (&"reverted".into(), &true.into()), "{change}");
+    let lines = change["said"].as_array().expect("lines");
+    let said = lines.iter().filter_map(|line| line.as_str()).collect::<Vec<_>>().join("\n");
+    assert!(said.contains("because: nacked of") && said.contains("epoch 2"), "{said}");
+    assert!(!said.contains("Stage(1)"), "{said}");
+    _ = fs::remove_dir_all(folder);
+}
--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -350,7 +350,7 @@
                 let (mut taken, mut silent) = (Vec::new(), 0);
                 while !stop.load(Ordering::Relaxed) {
                     let id = format!("t{}", number());
-                    let product = if number() % 3 == 0 { "once" } else { "free" };
+                    let product = if number().is_multiple_of(3) { "once" } else { "free" };
                     match hand_in(to, product, &id) {
                         Some(202) => taken.push(id),
                         Some(_) => {}
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -33,6 +33,9 @@
     #[serde(default)]
     pub faults: Vec<Fault>,
     pub gateways: Vec<GatewaySeen>,
+    /// How a change in stages came out, if one was made.
+    #[serde(default)]
+    pub change: Option<ChangeSeen>,
     /// From the planned moment of a text to its delivery, in ms: a client held up counts in full.
     pub latency_ms: Percentiles,
     pub series: Series,
@@ -53,6 +56,19 @@
     pub from_warned: f64,
 }
 
+/// A change over the senders: what its controller said when, how it ended, and what each sender runs by then.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChangeSeen {
+    /// `final`, `reverted`, or why it is neither.
+    pub came_out: String,
+    pub as_wanted: bool,
+    /// From its beginning to its end.
+    pub took_s: f64,
+    pub said: Vec<String>,
+    /// Settings' revisions by which senders run at the end, and how many run by each.
+    pub runs: BTreeMap<String, usize>,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GatewaySeen {
     pub destination: usize,
--- a/crates/lab/src/processes/faults.rs
+++ b/crates/lab/src/processes/faults.rs
@@ -64,6 +64,11 @@
     FullFolder { sender: usize, bytes: u64 },
     /// The process may have so many descriptors.
     Descriptors { sender: usize, most: u64 },
+    /// Of a sender under a keeper: the keeper is killed -9, or stopped, and starts or goes on when the fault is over.
+    KillKeeper { sender: usize },
+    PauseKeeper { sender: usize },
+    /// Whoever steers a change is killed -9, and started again when the fault is over.
+    KillController,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -92,6 +97,7 @@
             | What::Pause { sender }
             | What::FullFolder { sender, .. }
             | What::Descriptors { sender, .. } => vec![*sender],
+            What::KillKeeper { .. } | What::PauseKeeper { .. } | What::KillController => Vec::new(),
             What::Line { between, .. } | What::Reset { between } => {
                 let platform = |sender: &usize| {
                     between.strikes(End::Sender(*sender), End::Platform)
@@ -113,7 +119,10 @@
                     _ => None,
                 })
             }
+            What::KillController => None,
             What::Kill { sender: of }
+            | What::KillKeeper { sender: of }
+            | What::PauseKeeper { sender: of }
             | What::End { sender: of }
             | What::Pause { sender: of }
             | What::FullFolder { sender: of, .. }
@@ -179,6 +188,9 @@
             What::Pause { sender } => write!(f, "sender {sender}: stopped"),
             What::FullFolder { sender, bytes } => write!(f, "sender {sender}: no file over {bytes} bytes"),
             What::Descriptors { sender, most } => write!(f, "sender {sender}: {most} descriptors"),
+            What::KillKeeper { sender } => write!(f, "keeper of {sender}: killed"),
+            What::PauseKeeper { sender } => write!(f, "keeper of {sender}: stopped"),
+            What::KillController => write!(f, "controller: killed"),
         }
     }
 }
@@ -208,8 +220,12 @@
     Pause,
     FullFolder,
     Descriptors,
+    KillKeeper,
+    PauseKeeper,
+    KillController,
 }
 
+/// Those that a plan is drawn from where none are named; the others need keepers.
 pub const SORTS: [Sort; 10] = [
     Sort::Partition,
     Sort::OneWay,
@@ -315,6 +331,9 @@
         Sort::Pause => What::Pause { sender },
         Sort::FullFolder => What::FullFolder { sender, bytes: rng.random_range(0..64 << 10) },
         Sort::Descriptors => What::Descriptors { sender, most: rng.random_range(48..96) },
+        Sort::KillKeeper => What::KillKeeper { sender },
+        Sort::PauseKeeper => What::PauseKeeper { sender },
+        Sort::KillController => What::KillController,
     }
 }
 
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -12,6 +12,7 @@
 pub mod faults;
 pub mod line;
 pub mod network;
+pub mod steered;
 
 use indigomast::time::Span;
 
--- a/crates/lab/src/processes/network.rs
+++ b/crates/lab/src/processes/network.rs
@@ -148,6 +148,12 @@
         Ok(address)
     }
 
+    /// The line between two ends, one of which moves, once there is one.
+    pub fn known(&self, from: End, to: End) -> Option<SocketAddr> {
+        let ways = self.ways.lock().unwrap_or_else(PoisonError::into_inner);
+        ways.get(&(from, to, None)).map(|(address, _)| *address)
+    }
+
     /// The same for datagrams. Each of the two ends sees the other under the address of its own line to it, so an answer to
     /// where something came from goes the way back.
     ///
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -41,6 +41,9 @@
     /// How many more are drawn by the run's seed.
     #[serde(default)]
     pub nemesis: Option<Draw>,
+    /// Senders run under keepers, and this is changed over them; only the stage of several processes does it.
+    #[serde(default)]
+    pub change: Option<Rollout>,
 }
 
 fn one() -> u64 {
@@ -444,6 +447,30 @@
     1
 }
 
+/// A change in stages, as `indigomast rollout` makes it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rollout {
+    pub at_s: f64,
+    /// How long after the last text it may still take to come to its end.
+    pub within_s: f64,
+    /// The new side has these settings, by their paths in the settings object; its program is the same unless the run names
+    /// another.
+    #[serde(default)]
+    pub settings: std::collections::BTreeMap<String, toml::Value>,
+    /// What its plan says beside who the senders are.
+    pub plan: toml::Table,
+    /// How it has to come out.
+    pub ends: Ends,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ends {
+    Final,
+    Reverted,
+}
+
 impl Scenario {
     pub fn load(path: &Path) -> Result<Scenario, Complaint> {
         let shown = path.display();
--- a/crates/lab/src/sockets/keeper.rs
+++ b/crates/lab/src/sockets/keeper.rs
@@ -14,7 +14,7 @@
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -44,11 +44,22 @@
     meant: Option<Meant>,
     /// Grows with each start, so that who waits for an earlier one doesn't speak of a later.
     life: u64,
+    /// The run is.
+    over: bool,
+}
+
+/// How a sender under a keeper of its own is started.
+struct Kept {
+    /// The program that keeps.
+    program: PathBuf,
+    file: PathBuf,
+    record: PathBuf,
 }
 
 struct Inner {
     sender: usize,
     daemon: Command,
+    kept: Option<Kept>,
     config: PathBuf,
     state: PathBuf,
     log: PathBuf,
@@ -66,9 +77,12 @@
 pub struct Handle(Arc<Inner>);
 
 impl Handle {
-    /// The process that runs now, if one does.
+    /// The sender's process that runs now, if one does.
     pub fn pid(&self) -> Option<u32> {
-        self.0.lock().child.as_ref().map(Child::id)
+        match &self.0.kept {
+            Some(kept) => kept.process().map(|(pid, _)| pid).filter(|pid| lives(*pid)),
+            None => self.0.lock().child.as_ref().map(Child::id),
+        }
     }
 }
 
@@ -105,8 +119,13 @@
         }
         let path = folder.join("config.json");
         fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        let kept = match &options.change {
+            Some(change) => Some(Kept::set_up(change, &options.folder, sender, options.daemon_of(sender), &path)?),
+            None => None,
+        };
         Ok(Keeper(Arc::new(Inner {
             sender,
+            kept,
             daemon: options.daemon_of(sender).clone(),
             config: path,
             state,
@@ -153,6 +172,30 @@
         pid.into_iter().for_each(|pid| _ = kill_process(pid, signal));
     }
 
+    /// Tells the keeper of the sender.
+    pub fn signal_keeper(&self, signal: Signal) {
+        let pid = self.0.lock().child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        pid.into_iter().for_each(|pid| _ = kill_process(pid, signal));
+    }
+
+    pub fn kill_keeper(&self) {
+        let mut process = self.0.lock();
+        process.meant = Some(Meant::Stop);
+        process.child.iter_mut().for_each(|child| _ = child.kill());
+    }
+
+    /// Where the sender's process can be asked, and by which settings it says that it runs.
+    pub fn revision(&self) -> Option<String> {
+        let (_, control) = self.0.kept.as_ref()?.process()?;
+        let mut stream = TcpStream::connect_timeout(&control, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        stream.write_all(b"GET /ops/version HTTP/1.1\r\nContent-Length: 0\r\n\r\n").ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        let body = answer.split_once("\r\n\r\n")?.1;
+        serde_json::from_str::<serde_json::Value>(body).ok()?["revision"].as_str().map(str::to_owned)
+    }
+
     /// What the process that runs now may have at the most of something, or what it was started with.
     pub fn limit(&self, resource: Resource, most: Option<u64>) {
         let Some(pid) = self.handle().pid().and_then(|pid| Pid::from_raw(pid as i32)) else { return };
@@ -167,6 +210,11 @@
     }
 
     pub fn stop(&self, kill: bool) {
+        if self.0.kept.is_some() {
+            // Its keeper starts it again; whoever watches it tells when it is there.
+            self.signal(if kill { Signal::KILL } else { Signal::TERM });
+            return;
+        }
         let mut process = self.0.lock();
         process.meant = Some(Meant::Stop);
         let Some(child) = process.child.as_mut() else { return };
@@ -184,15 +232,90 @@
 impl Drop for Keeper {
     fn drop(&mut self) {
         let mut process = self.0.lock();
-        process.meant = Some(Meant::Stop);
+        (process.meant, process.over) = (Some(Meant::Stop), true);
         if let Some(mut child) = process.child.take() {
             _ = child.kill();
             _ = child.wait();
         }
+        drop(process);
+        // A sender outlives its keeper.
+        self.signal(Signal::KILL);
     }
 }
 
+fn lives(pid: u32) -> bool {
+    fs::read_to_string(format!("/proc/{pid}/stat")).is_ok_and(|stat| !stat.contains(") Z "))
+}
+
+impl Kept {
+    fn set_up(
+        change: &super::Change,
+        folder: &Path,
+        sender: usize,
+        daemon: &Command,
+        config: &Path,
+    ) -> Result<Kept, String> {
+        let own = folder.join(format!("sender-{sender}"));
+        let (file, record) = (own.join("keep.toml"), own.join("record"));
+        let at = |path: &Path| toml::Value::String(path.display().to_string());
+        let arguments = daemon.arguments.iter().cloned().map(toml::Value::String).collect();
+        let mut table = toml::Table::new();
+        for (name, value) in [
+            ("name", toml::Value::String(format!("sender-{sender}"))),
+            ("listen", toml::Value::String("127.0.0.1:0".into())),
+            ("clients", toml::Value::String("127.0.0.1:0".into())),
+            ("key", at(&folder.join("key"))),
+            ("state", at(&own.join("state"))),
+            ("record", at(&record)),
+            ("program", at(&daemon.program)),
+            ("arguments", toml::Value::Array(arguments)),
+            ("settings", at(config)),
+        ] {
+            table.insert(name.to_owned(), value);
+        }
+        fs::write(&file, table.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
+        Ok(Kept { program: change.program.clone(), file, record })
+    }
+
+    /// The sender's process and its second address, as its keeper says.
+    fn process(&self) -> Option<(u32, SocketAddr)> {
+        let text = fs::read_to_string(self.record.join("process")).ok()?;
+        let (pid, control) = text.trim().split_once(' ')?;
+        Some((pid.parse().ok()?, control.parse().ok()?))
+    }
+}
+
+/// How long a process may be gone before another is named in its place: longer, and it was no handover.
+const BETWEEN: Duration = Duration::from_millis(300);
+
 impl Inner {
+    /// Tells of each death of a sender's process under a keeper, and of each return.
+    fn watch(&self, kept: &Kept) {
+        let mut last = kept.process().map(|(pid, _)| pid);
+        let (mut gone, mut told): (Option<Instant>, bool) = (None, false);
+        // As long as its keeper may be started again.
+        while !self.lock().over {
+            thread::sleep(LOOK);
+            let now = kept.process();
+            let pid = now.map(|(pid, _)| pid);
+            if pid != last && pid.is_some_and(lives) {
+                if told && !now.is_some_and(|(_, control)| is_ready(control)) {
+                    continue;
+                }
+                if told {
+                    self.mailbox.tell(Seen::Ready { sender: self.sender });
+                }
+                (last, gone, told) = (pid, None, false);
+            } else if !last.is_some_and(lives) && !told {
+                let since = *gone.get_or_insert_with(Instant::now);
+                if since.elapsed() >= BETWEEN {
+                    self.mailbox.tell(Seen::Died { sender: self.sender });
+                    told = true;
+                }
+            }
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Process> {
         self.process.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -203,13 +326,20 @@
             // It has had its time.
             _ = old.kill();
             _ = old.wait();
-            self.mailbox.tell(Seen::Died { sender: self.sender });
+            if self.kept.is_none() {
+                self.mailbox.tell(Seen::Died { sender: self.sender });
+            }
         }
         // The shell only sets the limit and becomes the daemon. A file that may not grow is an error there, not an end.
         let mut command = std::process::Command::new("/bin/sh");
         command.args(["-c", "trap '' XFSZ; ulimit -n \"$0\" && exec \"$@\"", &self.descriptors.to_string()]);
-        command.arg(&self.daemon.program).args(&self.daemon.arguments);
-        command.env("ROUTER_CONFIG", &self.config).env("ROUTER_STATE", &self.state);
+        match &self.kept {
+            Some(kept) => _ = command.arg(&kept.program).arg("keep").arg(&kept.file),
+            None => {
+                command.arg(&self.daemon.program).args(&self.daemon.arguments);
+                command.env("ROUTER_CONFIG", &self.config).env("ROUTER_STATE", &self.state);
+            }
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command
             .spawn()
@@ -229,12 +359,16 @@
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 if let Some(at) = line.rsplit(' ').next().filter(|_| line.contains("listens on ")) {
-                    _ = told.try_send(at.parse::<SocketAddr>().ok());
+                    _ = told.try_send((at.parse::<SocketAddr>().ok(), None));
+                }
+                if let Some((_, words)) = line.split_once("for clients at ") {
+                    let mut addresses = words.split(' ').filter_map(|word| word.parse::<SocketAddr>().ok());
+                    _ = told.try_send((addresses.next(), addresses.next()));
                 }
                 _ = writeln!(log, "{line}");
             }
         });
-        let address = address.recv_timeout(START_TIME).ok().flatten();
+        let (address, orders) = address.recv_timeout(START_TIME).unwrap_or_default();
         let Some(address) = address else {
             let said = fs::read_to_string(&self.log).unwrap_or_default();
             let last = said.lines().last().unwrap_or("nothing").to_owned();
@@ -248,9 +382,16 @@
             }
             None => address,
         };
+        if let Some((network, orders)) = self.network.as_ref().zip(orders) {
+            network.way(End::Operator, End::Sender(self.sender), orders, true)?;
+        }
         *self.address.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
         let own = Arc::clone(self);
         thread::spawn(move || own.wait_for_end(life));
+        let own = Arc::clone(self);
+        if life == 1 && self.kept.is_some() {
+            thread::spawn(move || own.kept.iter().for_each(|kept| own.watch(kept)));
+        }
         Ok(())
     }
 
@@ -266,6 +407,10 @@
             process.child = None;
             let meant = process.meant;
             drop(process);
+            if self.kept.is_some() && meant == Some(Meant::Stop) {
+                // The sender serves on.
+                return;
+            }
             *self.address.lock().unwrap_or_else(PoisonError::into_inner) = None;
             if meant == Some(Meant::Stop) {
                 self.mailbox.tell(Seen::Died { sender: self.sender });
@@ -287,6 +432,14 @@
     _ = sched_setaffinity(Pid::from_raw(pid as i32), &one);
 }
 
+fn is_ready(control: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect_timeout(&control, Duration::from_millis(500)) else { return false };
+    _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+    let asked = stream.write_all(b"GET /ops/readiness HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    let mut answer = [0u8; 12];
+    asked.is_ok() && stream.read_exact(&mut answer).is_ok() && &answer == b"HTTP/1.1 200"
+}
+
 fn await_up(address: SocketAddr) -> Result<(), String> {
     let by = Instant::now() + START_TIME;
     while Instant::now() < by {
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -16,7 +16,8 @@
 use crate::processes::faults::End;
 use crate::processes::faults::{Fault, Schedule, Sizes, Turn, What as Sick};
 use crate::processes::network::{Network, Trail, Witness};
-use crate::scenario::{Complaint, Scenario};
+use crate::processes::steered::Steered;
+use crate::scenario::{Complaint, Rollout, Scenario};
 use crate::world::{Do, Seen, Snapshot, World};
 use burden::Weights;
 use clients::Clients;
@@ -97,6 +98,8 @@
 pub struct Options {
     /// How daemons are started; variables tell them the rest. Where there are several, senders take them in turn.
     pub daemons: Vec<Command>,
+    /// Senders run under keepers, and this is changed over them.
+    pub change: Option<Change>,
     /// Lines between all ends, and faults on them and on processes; without, ends meet directly.
     pub faults: Option<Vec<Fault>>,
     /// A folder of this run's own; made, and taken away at the end unless `keep`.
@@ -106,6 +109,16 @@
     pub stop: Arc<AtomicBool>,
 }
 
+/// A change over senders under keepers.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// The program `indigomast`, which keeps and steers.
+    pub program: PathBuf,
+    /// What the new side runs, if another program than before.
+    pub new: Option<PathBuf>,
+    pub rollout: Rollout,
+}
+
 impl Options {
     pub fn daemon_of(&self, sender: usize) -> &Command {
         &self.daemons[sender % self.daemons.len()]
@@ -127,6 +140,7 @@
     crashes: Vec<String>,
     network: Option<Arc<Network>>,
     faults: Vec<Fault>,
+    steered: Option<Steered>,
     schedule: Schedule,
     /// Senders that are stopped, and what they will hear once they go on.
     paused: BTreeMap<usize, Vec<Word>>,
@@ -161,6 +175,11 @@
         if options.daemons.is_empty() {
             return Err("no daemon to start".into());
         }
+        if options.change.is_some() {
+            // Before any keeper looks for it.
+            std::fs::write(folder.0.join("key"), "a key of this run's own, and nobody else's\n")
+                .map_err(|e| format!("{}: {e}", folder.0.display()))?;
+        }
         let faults = options.faults.clone().unwrap_or_default();
         let sizes = Sizes { senders, destinations: scenario.destinations() };
         if let Some((at, unknown)) =
@@ -198,6 +217,11 @@
         let clients = Clients::new(scenario, keepers.iter().map(Keeper::address_book).collect(), &mailbox);
         let lateness = Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|e| e.to_string())?;
         let (epoch, crashes) = (Instant::now(), Vec::new());
+        let steered = match (&options.change, &network) {
+            (Some(change), Some(_)) => Some(Steered::new(change, scenario, &options.folder)?),
+            (Some(_), None) => return Err("a change needs lines between its processes".into()),
+            (None, _) => None,
+        };
         let schedule = Schedule::of(&faults);
         let (paused, on_the_way) = (BTreeMap::new(), BTreeMap::new());
         let stage = Stage {
@@ -211,6 +235,7 @@
             crashes,
             network,
             faults,
+            steered,
             schedule,
             paused,
             on_the_way,
@@ -234,6 +259,10 @@
     let weights = Weights::put_on(scenario, senders, stage.epoch);
     stage.play(&words, &options.stop, watch);
     let strangers = weights.take_off();
+    let change = stage.steered.take().map(|steered| {
+        let revisions = stage.keepers.iter().map(|keeper| keeper.revision().unwrap_or_else(|| "silent".into()));
+        steered.close(revisions.collect())
+    });
     let Stage { world, keepers, doors, lateness, crashes, network, faults, .. } = stage;
     drop(keepers);
     drop(network);
@@ -244,6 +273,7 @@
     let name = if options.faults.is_some() { "processes" } else { "sockets" };
     let mut outcome = world.close(name, "module", seed);
     outcome.faults = faults;
+    outcome.change = change;
     let late = Percentiles::of(&lateness);
     let counts = late.p99 <= LATE_P99_MS && late.most <= LATE_MOST_MS;
     outcome.strangers = strangers;
@@ -289,10 +319,17 @@
         let traffic_over = Moment::from_millis(self.world.scenario().seconds * 1000.0);
         loop {
             let now = self.now(Instant::now());
-            if stop.load(Ordering::Relaxed) || (now > end && !alone) {
+            let changing = self.steered.as_ref().is_some_and(|steered| !steered.is_over(now));
+            if stop.load(Ordering::Relaxed) || (now > end && !alone && !changing) {
                 return;
             }
-            let faulty = self.schedule.next().is_some() || !self.paused.is_empty();
+            if let Some(steered) = &mut self.steered
+                && let Err(e) = steered.tend(now, self.network.as_deref(), &self.keepers)
+            {
+                self.crashes.push(e);
+            }
+            let changing = self.steered.as_ref().is_some_and(|steered| !steered.is_over(now));
+            let faulty = self.schedule.next().is_some() || !self.paused.is_empty() || changing;
             if !alone && now > traffic_over && words.is_empty() && !faulty && self.world.is_settled() {
                 return;
             }
@@ -409,7 +446,14 @@
             (Sick::Reset { .. }, false) => {}
             (Sick::Kill { sender }, true) => self.keepers[sender].stop(true),
             (Sick::End { sender }, true) => self.keepers[sender].stop(false),
+            (Sick::Kill { .. } | Sick::End { .. }, false) if self.steered.is_some() => {}
             (Sick::Kill { sender } | Sick::End { sender }, false) => self.keepers[sender].start(),
+            (Sick::KillKeeper { sender }, true) => self.keepers[sender].kill_keeper(),
+            (Sick::KillKeeper { sender }, false) => self.keepers[sender].start(),
+            (Sick::PauseKeeper { sender }, on) => {
+                self.keepers[sender].signal_keeper(if on { Signal::STOP } else { Signal::CONT });
+            }
+            (Sick::KillController, on) => self.steered.iter_mut().for_each(|steered| steered.kill(on)),
             (Sick::Pause { sender }, true) => {
                 self.keepers[sender].signal(Signal::STOP);
                 self.paused.insert(sender, Vec::new());
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1015,6 +1015,7 @@
             breach_counts: self.judge.counts.iter().map(|(rule, n)| (rule_name(*rule), *n)).collect(),
             falls: falls.collect(),
             faults: Vec::new(),
+            change: None,
             gateways: gateways.into_values().collect(),
             latency_ms: Percentiles::of(&self.latency),
             series: Series { asked: self.asked, delivered: self.delivered, ..self.series },
