--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -34,6 +34,7 @@
     let options = Options {
         daemons: vec![own_daemon()?],
         faults: None,
+        change: None,
         folder: run_folder(),
         keep: false,
         stop: stop.clone(),
--- a/crates/lab/src/processes/faults.rs
+++ b/crates/lab/src/processes/faults.rs
@@ -51,19 +51,45 @@
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum What {
     /// A line does this to what is sent along it.
-    Line { between: Between, condition: Condition },
+    Line {
+        between: Between,
+        condition: Condition,
+    },
     /// Connections along these lines are reset, once.
-    Reset { between: Between },
+    Reset {
+        between: Between,
+    },
     /// A process is killed -9 and started again when the fault is over.
-    Kill { sender: usize },
+    Kill {
+        sender: usize,
+    },
     /// A process is asked to end, and started again when the fault is over.
-    End { sender: usize },
+    End {
+        sender: usize,
+    },
     /// A process is stopped, and goes on when the fault is over.
-    Pause { sender: usize },
+    Pause {
+        sender: usize,
+    },
     /// No file of the process grows beyond so many bytes.
-    FullFolder { sender: usize, bytes: u64 },
+    FullFolder {
+        sender: usize,
+        bytes: u64,
+    },
     /// The process may have so many descriptors.
-    Descriptors { sender: usize, most: u64 },
+    Descriptors {
+        sender: usize,
+        most: u64,
+    },
+    /// Of a sender under a keeper: the keeper is killed -9, or stopped, and starts or goes on when the fault is over.
+    KillKeeper {
+        sender: usize,
+    },
+    PauseKeeper {
+        sender: usize,
+    },
+    /// Whoever steers a change is killed -9, and started again when the fault is over.
+    KillController,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -92,6 +118,7 @@
             | What::Pause { sender }
             | What::FullFolder { sender, .. }
             | What::Descriptors { sender, .. } => vec![*sender],
+            What::KillKeeper { .. } | What::PauseKeeper { .. } | What::KillController => Vec::new(),
             What::Line { between, .. } | What::Reset { between } => {
                 let platform = |sender: &usize| {
                     between.strikes(End::Sender(*sender), End::Platform)
@@ -113,7 +140,10 @@
                     _ => None,
                 })
             }
+            What::KillController => None,
             What::Kill { sender: of }
+            | What::KillKeeper { sender: of }
+            | What::PauseKeeper { sender: of }
             | What::End { sender: of }
             | What::Pause { sender: of }
             | What::FullFolder { sender: of, .. }
@@ -179,6 +209,9 @@
             What::Pause { sender } => write!(f, "sender {sender}: stopped"),
             What::FullFolder { sender, bytes } => write!(f, "sender {sender}: no file over {bytes} bytes"),
             What::Descriptors { sender, most } => write!(f, "sender {sender}: {most} descriptors"),
+            What::KillKeeper { sender } => write!(f, "keeper of {sender}: killed"),
+            What::PauseKeeper { sender } => write!(f, "keeper of {sender}: stopped"),
+            What::KillController => write!(f, "controller: killed"),
         }
     }
 }
@@ -208,8 +241,12 @@
     Pause,
     FullFolder,
     Descriptors,
+    KillKeeper,
+    PauseKeeper,
+    KillController,
 }
 
+/// Those that a plan is drawn from where none are named; the others need keepers.
 pub const SORTS: [Sort; 10] = [
     Sort::Partition,
     Sort::OneWay,
@@ -315,6 +352,9 @@
         Sort::Pause => What::Pause { sender },
         Sort::FullFolder => What::FullFolder { sender, bytes: rng.random_range(0..64 << 10) },
         Sort::Descriptors => What::Descriptors { sender, most: rng.random_range(48..96) },
+        Sort::KillKeeper => What::KillKeeper { sender },
+        Sort::PauseKeeper => What::PauseKeeper { sender },
+        Sort::KillController => What::KillController,
     }
 }
 
