--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -195,6 +195,11 @@
                 }
                 for (number, seed) in seeds.iter().enumerate() {
                     let folder = keep.clone().unwrap_or_else(run_folder).join(format!("run-{number}"));
+                    if folder.exists() {
+                        // State of another run would be taken up by this one's senders.
+                        let complaint = format!("--keep: {} is there already", folder.display());
+                        return Err(Failure::Complaint(complaint));
+                    }
                     let plan = scenario.plan_of_faults(*seed);
                     let faults = (stage == Stage::Processes).then(|| match &only {
                         Some(only) => only.iter().filter_map(|at| plan.get(*at).cloned()).collect(),
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -386,3 +386,29 @@
     assert!(!said.contains("Stage(1)"), "{said}");
     _ = fs::remove_dir_all(folder);
 }
+
+/// The judge of the stage with several processes finds a rule that only one side breaks.
+#[test]
+fn a_new_side_that_breaks_a_rule_is_found_out() {
+    let folder = folder("breaks");
+    let text = fs::read_to_string(scenario("change-small")).expect("a scenario");
+    let (head, rest) = text.split_once("[[faults]]").expect("faults");
+    let change = &rest[rest.find("[change]").expect("a change")..];
+    let trouble = "[[troubles]]\nwhat = \"errors\"\nat_s = 4\nfor_s = 8\ndestinations = [0]\nshare = 0.4\n\n";
+    // Two submits are allowed, and the new side makes up to six of them.
+    let text = format!("{head}{trouble}{change}")
+        .replace("held = 400", "held = 400\nsubmits = 2")
+        .replace("\"ceilings.most-held\" = 1", "\"ceilings.max-attempts\" = 6")
+        .replace("ends = \"reverted\"", "ends = \"final\"")
+        .replace("least_s = 20", "least_s = 1")
+        .replace("undeliverable = 0.1\nnacked = 0.1\nslow = 0.6", "undeliverable = 0\nnacked = 0\nslow = 0");
+    let (file, json) = (folder.join("breaks.toml"), folder.join("runs.json").display().to_string());
+    fs::write(&file, text).expect("written");
+    let output = run(&["lab", "run", &file.display().to_string(), "--stage", "processes", "--json", &json]);
+    assert!(matches!(output.status.code(), Some(3 | 4)), "{}", said(&output));
+    let runs: serde_json::Value =
+        serde_json::from_str(&fs::read_to_string(&json).expect("runs")).expect("JSON");
+    let broken = runs["runs"][0]["breach_counts"].as_object().expect("counts");
+    assert_eq!(broken.keys().collect::<Vec<_>>(), ["submits"], "{}", said(&output));
+    _ = fs::remove_dir_all(folder);
+}
