Keep: a second address is none that connections get, and a start crowded out is made again

Change: ports below those that the system gives to connections; a side that ended with its address taken by somebody else is started up to three times, and such an end is no crash of the side.

--- a/crates/keep/src/keeping.rs
+++ b/crates/keep/src/keeping.rs
@@ -35,6 +35,8 @@
 /// A sender that dies at once is started again after this, twice this, and so on up to the last.
 const FIRST_WAIT: Duration = Duration::from_millis(200);
 const LAST_WAIT: Duration = Duration::from_secs(30);
+/// A side is started so often where it finds its second address taken.
+const STARTS: u32 = 3;
 /// Within which deaths are counted.
 const REMEMBERED: Duration = Duration::from_secs(600);
 /// Another change may begin once the one before has not been heard of for so long.
@@ -550,11 +552,21 @@
     fn replace(&mut self, side: Which) -> bool {
         let by = Instant::now() + self.start_time();
         let Some(mut new) = self.start(side) else { return false };
+        let mut again = STARTS;
         // Until it owns what the old one has, nothing is lost by giving it up.
         let mut asked_to_end = None;
         loop {
             thread::sleep(BEAT);
             if let Some(end) = new.ended() {
+                again -= 1;
+                // No fault of the side's: its second address went to somebody else between two looks.
+                if again > 0
+                    && new.was_crowded_out()
+                    && let Some(another) = self.start(side)
+                {
+                    new = another;
+                    continue;
+                }
                 self.shared
                     .desk()
                     .trouble(format!("the new process ended before it served ({end:?}); see sender.log"));
@@ -587,7 +599,8 @@
     /// Sees that the side that is taken runs.
     fn tend(&mut self) {
         if let Some(end) = self.process.as_mut().and_then(Process::ended) {
-            let crashed = end == End::Crashed;
+            let crowded = !self.ready && self.process.as_ref().is_some_and(Process::was_crowded_out);
+            let crashed = end == End::Crashed && !crowded;
             let mut desk = self.shared.desk();
             desk.trouble(format!("the sender's process ended ({end:?})"));
             let side = desk.kept.side();
--- a/crates/keep/src/process.rs
+++ b/crates/keep/src/process.rs
@@ -54,6 +54,26 @@
     Crashed,
 }
 
+/// The least port that is tried for a second address.
+const LEAST_PORT: u16 = 20_000;
+
+/// An address that is free, for a program that is told which one and may not say which it found. Below the ports that the
+/// system gives to connections: one of those that is free now may be anybody's when the program comes to it.
+fn control_address() -> io::Result<SocketAddr> {
+    let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
+    let first = range.split_whitespace().next().and_then(|word| word.parse::<u16>().ok()).unwrap_or(0);
+    for _ in 0..50 {
+        if first <= LEAST_PORT {
+            break;
+        }
+        let port = rand::random_range(LEAST_PORT..first);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
+        }
+    }
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
 fn stat(pid: u32) -> Option<Vec<String>> {
     let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
     // The name in front may hold anything but ends with the last bracket.
@@ -67,8 +87,7 @@
 impl Process {
     /// Starts one on the clients' socket, its log behind what is in the file already.
     pub fn start(start: &Start, socket: &TcpListener) -> io::Result<Process> {
-        // One that was free a moment ago: older programs don't tell which one they found.
-        let control = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let control = control_address()?;
         let log = File::options().create(true).append(true).open(start.log)?;
         let mut command = Command::new("/bin/sh");
         // The shell only puts the socket where the process looks for it, and becomes the process.
@@ -134,6 +153,11 @@
         }
     }
 
+    /// Whether somebody else has the second address that it was told: one that ended at once may have ended by that.
+    pub fn was_crowded_out(&self) -> bool {
+        TcpListener::bind(self.known.control).is_err()
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = line::call(self.known.control, "GET", "/ops/readiness", "", ANSWER);
         answer.is_ok_and(|(status, _)| status == 200)
@@ -223,3 +247,18 @@
     let written = io::Write::write_all(&mut file, bytes).and_then(|()| file.sync_all());
     written.and_then(|()| fs::rename(&new, path)).inspect_err(|_| _ = fs::remove_file(&new))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_second_address_is_none_that_connections_get() {
+        let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
+        let first = range.split_whitespace().next().and_then(|word| word.parse::<u16>().ok()).unwrap_or(0);
+        for _ in 0..200 {
+            let control = control_address().expect("some port is free");
+            assert!(control.port() < first || first <= LEAST_PORT, "{control} is from {first} on");
+        }
+    }
+}
