--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -187,7 +187,7 @@
             fs::create_dir_all(&own).expect("a folder");
             let file = own.join("keep.toml");
             // Ports of one's own, so that another keeper finds the same ones.
-            let free = || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+            let free = || indigomast_keep::process::free_address().expect("a port");
             let text = format!(
                 "name = \"s{at}\"\nlisten = \"{}\"\nclients = \"{}\"\nkey = \"../fleet.key\"\nstate = \"state\"\n\
                  record = \"record\"\nprogram = \"{}\"\narguments = [\"daemon\"]\nsettings = \"../old.json\"\n",
--- a/crates/keep/src/process.rs
+++ b/crates/keep/src/process.rs
@@ -59,7 +59,11 @@
 
 /// An address that is free, for a program that is told which one and may not say which it found. Below the ports that the
 /// system gives to connections: one of those that is free now may be anybody's when the program comes to it.
-fn control_address() -> io::Result<SocketAddr> {
+///
+/// # Errors
+///
+/// No port is to be had.
+pub fn free_address() -> io::Result<SocketAddr> {
     let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
     let first = range.split_whitespace().next().and_then(|word| word.parse::<u16>().ok()).unwrap_or(0);
     for _ in 0..50 {
@@ -87,7 +91,7 @@
 impl Process {
     /// Starts one on the clients' socket, its log behind what is in the file already.
     pub fn start(start: &Start, socket: &TcpListener) -> io::Result<Process> {
-        let control = control_address()?;
+        let control = free_address()?;
         let log = File::options().create(true).append(true).open(start.log)?;
         let mut command = Command::new("/bin/sh");
         // The shell only puts the socket where the process looks for it, and becomes the process.
@@ -257,7 +261,7 @@
         let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
         let first = range.split_whitespace().next().and_then(|word| word.parse::<u16>().ok()).unwrap_or(0);
         for _ in 0..200 {
-            let control = control_address().expect("some port is free");
+            let control = free_address().expect("some port is free");
             assert!(control.port() < first || first <= LEAST_PORT, "{control} is from {first} on");
         }
     }
