--- a/crates/rollout/tests/walk.rs
+++ b/crates/rollout/tests/walk.rs
@@ -448,6 +448,10 @@
         ("one change fails", Budget { failures: 1, ..NONE }, false),
         ("one agent dies", Budget { agents: 1, ..NONE }, false),
         ("one controller dies", Budget { controllers: 1, ..NONE }, false),
+        ("worse, and one message is lost", Budget { lost: 1, ..NONE }, true),
+        ("worse, and one change or going back fails", Budget { failures: 1, ..NONE }, true),
+        ("worse, and one agent dies", Budget { agents: 1, ..NONE }, true),
+        ("worse, and one controller dies", Budget { controllers: 1, ..NONE }, true),
     ] {
         let states = walk(budget, bad, usize::MAX);
         println!("to the end, {name}: {states} states");
