A file that is another one on a sender's machine than the controller's is refused

Need: a change is of one program and one file of settings; under the same name a machine may have another, and what was compared would be something else. Test with a file changed in between.

--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -226,6 +226,15 @@
         path
     }
 
+    /// One stage for all.
+    fn plan_of_one(&self, to: &str) -> PathBuf {
+        let path = self.plan(to, QUICK);
+        let text = fs::read_to_string(&path).expect("a plan");
+        let text = text.replacen("[[stages]]\ncount = 1\nleast_s = 1\n", "", 1);
+        fs::write(&path, text).expect("written");
+        path
+    }
+
     fn script(&self, name: &str, lines: &str) -> PathBuf {
         let path = self.folder.join(name);
         let lines = lines.replace("PROGRAM", env!("CARGO_BIN_EXE_indigomast"));
@@ -464,6 +473,43 @@
     all_come(&fleet, &taken);
 }
 
+/// Settings that a controller finds different on its own machine than a keeper does are taken by nobody.
+#[test]
+fn a_file_that_is_another_one_on_a_senders_machine_is_refused() {
+    let fleet = Fleet::new("another", 1);
+    let new = fleet.folder.join("new.json");
+    fs::write(&new, settings(fleet.endpoint.address, fleet.platform, 1900).to_string()).expect("written");
+    let plan = fleet.plan_of_one(&format!("settings = \"{}\"", new.display()));
+    // The controller reads the file as it begins; the keeper is reached only once it has changed.
+    let listener =
+        TcpListener::bind(indigomast_keep::process::free_address().expect("a port")).expect("bound");
+    let (here, there) = (listener.local_addr().expect("bound"), fleet.keepers[0].orders);
+    let text = fs::read_to_string(&plan).expect("a plan").replace(&there.to_string(), &here.to_string());
+    fs::write(&plan, text).expect("written");
+    let controller = fleet.begin(&plan, "record");
+    let (mut first, _) = listener.accept().expect("it asks");
+    fs::write(&new, settings(fleet.endpoint.address, fleet.platform, 1800).to_string()).expect("written");
+    thread::spawn(move || {
+        let pass = move |from: &mut TcpStream| {
+            let Ok(mut to) = TcpStream::connect(there) else { return };
+            let Ok(mut back) = from.try_clone() else { return };
+            let Ok(mut answer) = to.try_clone() else { return };
+            thread::spawn(move || _ = std::io::copy(&mut answer, &mut back));
+            _ = std::io::copy(from, &mut to);
+        };
+        pass(&mut first);
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || pass(&mut stream));
+        }
+    });
+    let output = controller.wait_with_output().expect("it ends");
+    assert_eq!(output.status.code(), Some(6), "{}", said(&output));
+    assert!(said(&output).contains("could not take the new side"), "{}", said(&output));
+    let log = fs::read_to_string(fleet.folder.join("record/history.jsonl")).expect("a history");
+    assert!(log.contains("is another file here than the controller's"), "{log}");
+    assert_eq!(fleet.revision(0), revision(&fleet.old));
+}
+
 #[test]
 fn a_program_that_does_not_start_is_given_up_at_once() {
     given_up("refuses", "echo no; exit 1", "could not take the new side");
--- a/crates/keep/src/keeping.rs
+++ b/crates/keep/src/keeping.rs
@@ -9,7 +9,7 @@
 use crossbeam_channel::{Receiver, Sender, bounded};
 use indigomast::time::{Moment, Span};
 use indigomast_rollout::agent::{Act, Agent, Ask, Promised, Refusal, Which};
-use indigomast_rollout::plan::Unheard;
+use indigomast_rollout::plan::{Unheard, digest};
 use indigomast_rollout::record::Record;
 use indigomast_rollout::wire::{Answer, Change, LONGEST, Refused, Say, Secret, Told, Way};
 use rustix::process::Signal;
@@ -438,6 +438,27 @@
         self.shared.config.record.join("settings.in-force")
     }
 
+    /// Whether the new side's files are those that the controller has: another file under the same name is no part of what
+    /// was compared.
+    fn is_as_told(&self) -> bool {
+        let change = self.shared.desk().kept.change.clone();
+        let Some(change) = change else { return true };
+        let files = [(&change.program, &change.program_digest), (&change.settings, &change.settings_digest)];
+        for (path, told) in
+            files.into_iter().filter_map(|(path, told)| Some((path.as_ref()?, told.as_ref()?)))
+        {
+            let own = fs::read(path).map(|bytes| digest(&bytes));
+            if own.as_ref().ok() != Some(told) {
+                self.shared.desk().trouble(match own {
+                    Ok(_) => format!("{path} is another file here than the controller's"),
+                    Err(e) => format!("{path}: {e}"),
+                });
+                return false;
+            }
+        }
+        true
+    }
+
     fn put_settings(&self, side: Which) -> bool {
         let from = self.settings(side);
         let put = fs::read(&from).and_then(|bytes| write_whole(&self.in_force(), &bytes));
@@ -508,7 +529,8 @@
         }
         self.shared.desk().agent.sees(Some(was), false);
         let same_program = self.program(side) == self.program(was);
-        let done = self.put_settings(side)
+        let done = (side == Which::Old || self.is_as_told())
+            && self.put_settings(side)
             && match same_program && self.process.is_some() {
                 true => self.reload(side),
                 false => self.replace(side),
--- a/crates/keep/src/steering.rs
+++ b/crates/keep/src/steering.rs
@@ -4,7 +4,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
 use indigomast::time::Moment;
 use indigomast_rollout::controller::{Controller, Input, Output};
-use indigomast_rollout::plan::Plan;
+use indigomast_rollout::plan::{Plan, digest};
 use indigomast_rollout::record::Record;
 use indigomast_rollout::steering::{Entry, Event, Phase};
 use indigomast_rollout::wire::{Answer, Change, LONGEST, Refused, Say, Secret, Told, Way};
@@ -126,7 +126,10 @@
     });
     let entries: Vec<Entry> = entries.collect();
     let path = |path: &Option<PathBuf>| path.as_ref().map(|path| path.display().to_string());
+    let digest = |path: &Option<PathBuf>| fs::read(path.as_ref()?).ok().map(|bytes| digest(&bytes));
     let change = Change {
+        program_digest: digest(&plan.to.program),
+        settings_digest: digest(&plan.to.settings),
         digest: plan.digest.clone(),
         program: path(&plan.to.program),
         settings: path(&plan.to.settings),
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -247,7 +247,7 @@
             Sender { name, agent, zone, stage: stage.unwrap_or(0) }
         });
         Ok(Plan {
-            digest: hex(&Sha256::digest(text.as_bytes())[..8]),
+            digest: digest(text.as_bytes()),
             name: file.name,
             to: file.to,
             senders: senders.collect(),
@@ -263,6 +263,11 @@
     }
 }
 
+/// Tells files apart.
+pub fn digest(bytes: &[u8]) -> String {
+    hex(&Sha256::digest(bytes)[..8])
+}
+
 pub fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/rollout/src/wire.rs
+++ b/crates/rollout/src/wire.rs
@@ -42,6 +42,11 @@
     pub digest: String,
     pub program: Option<String>,
     pub settings: Option<String>,
+    /// Of both files, as the controller has them; where it has them.
+    #[serde(default)]
+    pub program_digest: Option<String>,
+    #[serde(default)]
+    pub settings_digest: Option<String>,
     pub unheard: Unheard,
     pub unheard_ms: f64,
     pub start_ms: f64,
--- a/crates/rollout/tests/parts.rs
+++ b/crates/rollout/tests/parts.rs
@@ -88,6 +88,8 @@
         digest: "d".into(),
         program: None,
         settings: Some("x".into()),
+        program_digest: None,
+        settings_digest: Some("s".into()),
         unheard: Unheard::Back,
         unheard_ms: 1.0,
         start_ms: 1.0,
