--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -1,5 +1,7 @@
 //! A change in stages over real processes: keepers, senders, a controller, clients and an endpoint, on loopback.
 
+mod support;
+
 use indigomast_sender::http::take_request;
 use indigomast_sender::limits::{Grant, Limits};
 use indigomast_sender::ring::Ring;
@@ -15,6 +17,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use support::one_endpoint;
 
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -93,26 +96,7 @@
 }
 
 fn settings(endpoint: SocketAddr, platform: SocketAddr, held: usize) -> Value {
-    let category = |name: &str, repeat: &str| {
-        json!({"name": name, "objective-ms": 3000.0, "deadline-ms": 24000.0, "repeat": repeat, "group": "all",
-            "in-order": false, "window-ms": 15000.0, "worth": 1.0})
-    };
-    json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": platform.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-        "known": {"revision": 41, "complete": true, "members": [{"id": "e0", "host_port": endpoint.to_string(),
-            "locality": "a", "flavor": "k", "cell": 0, "phase": "Ready", "size": 1.0, "up_since_ms": 0}]},
-        "settings": {
-            "group-size": 3, "ordinal": 0, "kinds": ["k"], "localities": ["a"], "tick-ms": 5.0,
-            "categories": [category("free", "read_like"), category("once", "non_idempotent")],
-            "family-info": {"call-slots": 24, "kind-batch": [1], "routes-apart": [false]},
-            "membership-mode": "subscribe", "weight-kind": "silent",
-            "obligations": {"cold-share": 0.2, "cold-ms": 10000.0, "tip-multiple": 2.0,
-                "must-ask-in-ms": 10000.0, "settle-after-doubt-ms": 100.0},
-            "ceilings": {"max-attempts": 6, "most-held": held, "keepalive-ms": 10000.0,
-                "connect-timeout-ms": 1500.0, "retry-after": true, "max-retry-after-ms": 2000.0},
-        },
-    })
+    one_endpoint(endpoint, platform, 24, held)
 }
 
 /// A keeper's process; its sender ends with the test, however that ends.
@@ -203,7 +187,7 @@
             fs::create_dir_all(&own).expect("a folder");
             let file = own.join("keep.toml");
             // Ports of one's own, so that another keeper finds the same ones.
-            let free = || TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+            let free = || indigomast_keep::process::free_address().expect("a port");
             let text = format!(
                 "name = \"s{at}\"\nlisten = \"{}\"\nclients = \"{}\"\nkey = \"../fleet.key\"\nstate = \"state\"\n\
                  record = \"record\"\nprogram = \"{}\"\narguments = [\"daemon\"]\nsettings = \"../old.json\"\n",
@@ -242,6 +226,15 @@
         path
     }
 
+    /// One stage for all.
+    fn plan_of_one(&self, to: &str) -> PathBuf {
+        let path = self.plan(to, QUICK);
+        let text = fs::read_to_string(&path).expect("a plan");
+        let text = text.replacen("[[stages]]\ncount = 1\nleast_s = 1\n", "", 1);
+        fs::write(&path, text).expect("written");
+        path
+    }
+
     fn script(&self, name: &str, lines: &str) -> PathBuf {
         let path = self.folder.join(name);
         let lines = lines.replace("PROGRAM", env!("CARGO_BIN_EXE_indigomast"));
@@ -480,6 +473,43 @@
     all_come(&fleet, &taken);
 }
 
+/// Settings that a controller finds different on its own machine than a keeper does are taken by nobody.
+#[test]
+fn a_file_that_is_another_one_on_a_senders_machine_is_refused() {
+    let fleet = Fleet::new("another", 1);
+    let new = fleet.folder.join("new.json");
+    fs::write(&new, settings(fleet.endpoint.address, fleet.platform, 1900).to_string()).expect("written");
+    let plan = fleet.plan_of_one(&format!("settings = \"{}\"", new.display()));
+    // The controller reads the file as it begins; the keeper is reached only once it has changed.
+    let listener =
+        TcpListener::bind(indigomast_keep::process::free_address().expect("a port")).expect("bound");
+    let (here, there) = (listener.local_addr().expect("bound"), fleet.keepers[0].orders);
+    let text = fs::read_to_string(&plan).expect("a plan").replace(&there.to_string(), &here.to_string());
+    fs::write(&plan, text).expect("written");
+    let controller = fleet.begin(&plan, "record");
+    let (mut first, _) = listener.accept().expect("it asks");
+    fs::write(&new, settings(fleet.endpoint.address, fleet.platform, 1800).to_string()).expect("written");
+    thread::spawn(move || {
+        let pass = move |from: &mut TcpStream| {
+            let Ok(mut to) = TcpStream::connect(there) else { return };
+            let Ok(mut back) = from.try_clone() else { return };
+            let Ok(mut answer) = to.try_clone() else { return };
+            thread::spawn(move || _ = std::io::copy(&mut answer, &mut back));
+            _ = std::io::copy(from, &mut to);
+        };
+        pass(&mut first);
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || pass(&mut stream));
+        }
+    });
+    let output = controller.wait_with_output().expect("it ends");
+    assert_eq!(output.status.code(), Some(6), "{}", said(&output));
+    assert!(said(&output).contains("could not take the new side"), "{}", said(&output));
+    let log = fs::read_to_string(fleet.folder.join("record/history.jsonl")).expect("a history");
+    assert!(log.contains("is another file here than the controller's"), "{log}");
+    assert_eq!(fleet.revision(0), revision(&fleet.old));
+}
+
 #[test]
 fn a_program_that_does_not_start_is_given_up_at_once() {
     given_up("refuses", "echo no; exit 1", "could not take the new side");
@@ -563,3 +593,38 @@
     }
     _ = fs::remove_dir_all(folder);
 }
+
+#[test]
+fn the_examples_can_be_used_and_a_plan_that_can_not_says_all_that_is_wrong() {
+    let deploy = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    let check =
+        |path: &Path| program(&["rollout", "check", &path.display().to_string()]).output().expect("it runs");
+    let output = check(&deploy.join("rollout.example.toml"));
+    assert!(
+        output.status.success() && said(&output).contains("3 senders, 2 stages, 1 away at most"),
+        "{}",
+        said(&output)
+    );
+    assert!(said(&output).contains("1: till-7 for 300 s and 2000 texts"), "{}", said(&output));
+    let folder = std::env::temp_dir().join(format!("indigomast-plan-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("a folder");
+    let text = fs::read_to_string(deploy.join("rollout.example.toml")).expect("a plan");
+    let wrong = folder.join("wrong.toml");
+    fs::write(&wrong, text.replace("till-8", "till-7").replace("away = 1", "away = 0")).expect("written");
+    let output = check(&wrong);
+    assert_eq!(output.status.code(), Some(1));
+    for what in ["wrong.toml: limits.away", "senders[1].name: \"till-7\" is empty or there twice"] {
+        assert!(said(&output).contains(what), "{what}: {}", said(&output));
+    }
+    let keep = fs::read_to_string(deploy.join("keep.example.toml")).expect("a file");
+    let own = env!("CARGO_BIN_EXE_indigomast");
+    fs::write(folder.join("fleet.key"), "short").expect("written");
+    fs::write(folder.join("config.json"), "{}").expect("written");
+    fs::write(folder.join("keep.toml"), keep.replace("\"indigomastd\"", &format!("{own:?}")))
+        .expect("written");
+    // All that it names is read up to the key, which is too short to be one.
+    let output =
+        program(&["keep", &folder.join("keep.toml").display().to_string()]).output().expect("it runs");
+    assert!(said(&output).contains("keep.toml: key: a key has 16 bytes or more"), "{}", said(&output));
+    _ = fs::remove_dir_all(folder);
+}
