--- a/crates/lab/src/sockets/keeper.rs
+++ b/crates/lab/src/sockets/keeper.rs
@@ -186,16 +186,20 @@
         process.child.iter_mut().for_each(|child| _ = child.kill());
     }
 
-    /// Where the sender's process can be asked, and by which settings it says that it runs.
+    /// By which settings the sender's process says that it runs; of one from before that was told, which program it is.
     pub fn revision(&self) -> Option<String> {
-        let (_, control) = self.0.kept.as_ref()?.process()?;
+        let (pid, control) = self.0.kept.as_ref()?.process()?;
         let mut stream = TcpStream::connect_timeout(&control, Duration::from_secs(1)).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
         stream.write_all(b"GET /ops/version HTTP/1.1\r\nContent-Length: 0\r\n\r\n").ok()?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer).ok()?;
         let body = answer.split_once("\r\n\r\n")?.1;
-        serde_json::from_str::<serde_json::Value>(body).ok()?["revision"].as_str().map(str::to_owned)
+        let told = serde_json::from_str::<serde_json::Value>(body).ok();
+        match told.as_ref().and_then(|told| told["revision"].as_str()) {
+            Some(revision) => Some(revision.to_owned()),
+            None => Some(fs::read_link(format!("/proc/{pid}/exe")).ok()?.display().to_string()),
+        }
     }
 
     /// What the process that runs now may have at the most of something, or what it was started with.
