Calls have one outcome by construction, restarts try what is untried, drains reach calls

- peer.rs: a call handed to a line that had said it rests and then panicked, or left in a mailbox nobody reads, had no outcome and held its slot and key for good.
A Call now tells what nobody told when it is dropped.
- peer.rs, send: one text whose time was up while the connection came up made the whole call Moot, or a failed connection; it stays behind now, the others go. rules.rs, outcome: such a text is not the first word on its call.
- peer.rs: a call back was by text, so a late one could end the same text's next submit; it names the submit now.
- peer.rs, make_room: a connection whose peer's mailbox was full was forgotten and never asked again.
- places.rs, decider.rs: an endpoint that left the list, moved or was taken out by hand lost its peer at once, so that Withhold decided on that very list was dropped: a call still connecting left up to 1.5 s later, beyond the grace.
A full mailbox lost drains and the end of connections; both are asked again now, in order.
- list.rs: a replaced watch cleared its successor's connection; a question between the move of discovery and the news of it went to the new one from the old one's revision; both kept in one place behind one lock now.
After a watch that was long in coming nothing is paused for.
- decider.rs, rules.rs: a key whose end was still to be reported after a restart shut its gate, and what was behind it never came to the decisions: no end in its time while reports can't be delivered.
Event::Untold.
- rules.rs: untried texts of an earlier process could be given up for room (all over a halved limit), and waited behind fresh ones until their time was up.

--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -307,7 +307,7 @@
         desk.resume();
         desk.decide();
         let left = desk.work(&words);
-        desk.places.iter_mut().for_each(|(_, place)| place.retire());
+        desk.places.all().into_iter().for_each(|at| desk.places.retire(at));
         if left {
             // The lock goes with the process, not before: the next owner may submit what is still out here, and that is
             // over only once this process's connections are.
@@ -581,7 +581,7 @@
     fn maintain(&mut self, name: &str, out: bool) {
         let Some(endpoint) = self.places.find(name) else { return };
         if out {
-            self.places.get(endpoint).into_iter().for_each(|place| place.retire());
+            self.places.retire(endpoint);
         }
         self.events.push(Event::Maintained { endpoint, out });
     }
@@ -776,7 +776,14 @@
                 self.gates.entry(key.clone()).or_default().push_back((text, Gate::Shut));
             }
             match self.wal.owed().get(&text.0).and_then(|owed| owed.report) {
-                Some(report) => self.notes.push(Notice { text, id: info.id.clone(), report }),
+                Some(report) => {
+                    self.notes.push(Notice { text, id: info.id.clone(), report });
+                    // Those behind it in its key wait for the report to be heard where they can be ended in time.
+                    if self.table.find(&info.product).is_some() {
+                        let handed = self.handed(text, info);
+                        self.pass_gate(text, info.key.as_deref(), Some(Event::Untold(handed)));
+                    }
+                }
                 None => {
                     let past = owed.past(|zone| {
                         let known = self.site.zones.find(&zone.to_owned(), "zone");
@@ -803,7 +810,7 @@
             let moved = member.address.is_some() && member.address != place.address;
             place.address = member.address.or(place.address);
             if moved {
-                place.retire();
+                self.places.retire(at);
             }
             if member.condition == Condition::Deleted {
                 self.places.leaves(at);
@@ -818,8 +825,8 @@
             });
         }
         if scope == Scope::Complete {
-            let off = self.places.iter_mut().map(|(at, _)| at).filter(|at| !told.contains(at));
-            off.collect::<Vec<_>>().into_iter().for_each(|at| self.places.leaves(at));
+            let off = self.places.all().into_iter().filter(|at| !told.contains(at));
+            off.for_each(|at| self.places.leaves(at));
         }
         self.events.push(Event::Listed { scope, entries });
         // What is on the list anew is not known there as taken out.
@@ -845,7 +852,7 @@
                     let open = calls.iter_mut().rev().find(|(to, _)| *to == endpoint);
                     match open.filter(|(_, call)| call.parts.len() < most) {
                         Some((_, call)) => call.parts.push(part),
-                        None => calls.push((endpoint, Call { parts: vec![part], sent: at })),
+                        None => calls.push((endpoint, Call::new(part, at))),
                     }
                 }
                 Action::Nack { text, come_back_after } => {
@@ -859,11 +866,11 @@
                 }
                 Action::Revoke { text, submit } => {
                     let out = self.out.get(&(text, submit));
-                    asks.extend(out.map(|endpoint| (*endpoint, peer::Ask::Revoke(text))));
+                    asks.extend(out.map(|endpoint| (*endpoint, peer::Ask::Revoke((text, submit)))));
                 }
                 Action::Withhold { text, submit } => {
                     let out = self.out.get(&(text, submit));
-                    asks.extend(out.map(|endpoint| (*endpoint, peer::Ask::Withhold(text))));
+                    asks.extend(out.map(|endpoint| (*endpoint, peer::Ask::Withhold((text, submit)))));
                 }
                 Action::CloseIdle { endpoint } => asks.push((endpoint, peer::Ask::CloseIdle)),
                 Action::Subscribe { on } => _ = self.list.try_send(list::Ask::Watch(on)),
@@ -886,10 +893,9 @@
             if written { self.carry(endpoint, call) } else { self.not_sent(endpoint, call) }
         }
         for (endpoint, ask) in asks {
-            if let Some(peer) = self.places.get(endpoint).and_then(|place| place.peer.as_ref()) {
-                _ = peer.try_send(ask);
-            }
+            self.places.ask(endpoint, ask);
         }
+        self.places.ask_again();
     }
 
     fn submit(
@@ -993,8 +999,10 @@
         }
         self.counters.calls.add(1);
         let Some(peer) = &place.peer else { return self.not_sent(endpoint, call) };
-        if let Err(lost) = peer.try_send(peer::Ask::Call(call)) {
-            place.peer = None;
+        if let Err(lost) = peer.try_send(peer::Ask::Call(call.to(endpoint, &self.trunk))) {
+            if lost.is_disconnected() {
+                place.peer = None;
+            }
             if let peer::Ask::Call(call) = lost.into_inner() {
                 self.not_sent(endpoint, call);
             }
@@ -1003,12 +1011,12 @@
 
     fn came_back(&mut self, text: TextId, submit: usize) {
         let place = self.out.remove(&(text, submit)).and_then(|endpoint| self.places.get(endpoint));
-        place.into_iter().for_each(|place| place.out -= 1);
+        place.into_iter().for_each(|place| place.came_back());
     }
 
     /// The submits count, as the decisions have it, but nothing left.
     fn not_sent(&mut self, endpoint: EndpointId, call: Call) {
-        for part in call.parts {
+        for part in call.into_parts() {
             self.came_back(part.text, part.submit);
             self.wal.never_ran(part.text.0, part.submit);
             self.counters.not_sent.add(1);
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -147,16 +147,43 @@
     site: Arc<Site>,
     limits: Arc<Limits>,
     teller: Teller,
-    /// What was told last; none where nothing that is known goes on.
-    revision: Mutex<Option<u64>>,
-    /// The watch that runs, by number, and its connection.
-    watch: Mutex<(u64, Option<Arc<TcpStream>>)>,
+    running: Mutex<Running>,
     /// Changes come unasked at this site, so a watch that ended is begun anew by the carrier.
     unasked: bool,
     turns: Mutex<Turns>,
     term: Duration,
 }
 
+/// What one watch leaves to the next, or must not: behind one lock, so that no watch meets half of a change.
+struct Running {
+    /// The watch that runs, and its connection.
+    number: u64,
+    stream: Option<Arc<TcpStream>>,
+    /// What was told last, and by whom: another discovery counts otherwise. None where nothing that is known goes on.
+    revision: Option<(SocketAddr, u64)>,
+}
+
+impl Running {
+    /// The watch that runs, if any, is over; what it still reads is nobody's.
+    fn replace(&mut self) -> u64 {
+        self.number += 1;
+        if let Some(stream) = self.stream.take() {
+            _ = stream.shutdown(Shutdown::Both);
+        }
+        self.number
+    }
+
+    /// Whether this watch still runs, which has no connection now that anybody need shut. Of one that was replaced the
+    /// connection is its successor's.
+    fn rests(&mut self, number: u64) -> bool {
+        let runs = self.number == number;
+        if runs {
+            self.stream = None;
+        }
+        runs
+    }
+}
+
 pub struct List {
     pub platform: Arc<Platform>,
     pub site: Arc<Site>,
@@ -170,10 +197,11 @@
     fn run(self: Box<Self>, asks: Receiver<Ask>, teller: Teller) {
         let List { platform, site, limits, revision } = *self;
         let unasked = !site.info.decode().must_subscribe;
-        let (revision, watch) = (Mutex::new(revision), Mutex::default());
+        let revision = revision.map(|revision| (platform.address(), revision));
+        let running = Mutex::new(Running { number: 0, stream: None, revision });
         let (term, info) = (duration(site.info.decode().must_ask_in), &site.info);
         let turns = Mutex::new(Turns::new(Instant::now(), info.ordinal, info.group_size, term));
-        let desk = Desk { platform, site, limits, teller, revision, watch, unasked, turns, term };
+        let desk = Desk { platform, site, limits, teller, running, unasked, turns, term };
         let desk = Arc::new(desk);
         if unasked {
             desk.watch(true);
@@ -182,15 +210,14 @@
             match ask {
                 Ask::Watch(on) => desk.watch(on),
                 Ask::Renew => {
-                    *desk.revision() = None;
                     desk.turns().renewed(Instant::now(), desk.term);
-                    desk.watch(true);
+                    desk.watch_anew();
                 }
-                Ask::Read => match desk.read_once() {
-                    Ok(listing) => desk.tell(Some(listing)),
+                Ask::Read => match desk.ask(&mut None, 0, None) {
+                    Ok((address, listing)) => desk.tell(&mut desk.running(), address, listing),
                     Err(e) => {
                         log!("reading the list failed: {e}");
-                        desk.tell(None);
+                        desk.teller.tell(None);
                     }
                 },
             }
@@ -200,41 +227,41 @@
 }
 
 impl Desk {
-    fn tell(&self, listing: Option<Listing>) {
-        if let Some(listing) = &listing {
-            *self.revision() = Some(listing.revision);
-        }
-        self.teller.tell(listing);
-    }
-
-    fn revision(&self) -> std::sync::MutexGuard<'_, Option<u64>> {
-        self.revision.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Under the lock on what runs: a watch that is replaced meanwhile has told before, or tells no more.
+    fn tell(&self, running: &mut Running, address: SocketAddr, listing: Listing) {
+        running.revision = Some((address, listing.revision));
+        self.teller.tell(Some(listing));
     }
 
     fn turns(&self) -> std::sync::MutexGuard<'_, Turns> {
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, (u64, Option<Arc<TcpStream>>)> {
-        self.watch.lock().unwrap_or_else(PoisonError::into_inner)
+    fn running(&self) -> std::sync::MutexGuard<'_, Running> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn watch(self: &Arc<Desk>, on: bool) {
-        let mut watch = self.lock();
-        // The one that runs, if any, is over; what it still reads is nobody's.
-        watch.0 += 1;
-        if let Some(stream) = watch.1.take() {
-            _ = stream.shutdown(Shutdown::Both);
-        }
-        let number = watch.0;
-        drop(watch);
-        if !on {
-            return;
+        let number = self.running().replace();
+        if on {
+            self.begin(number);
         }
+    }
+
+    /// Begins with the whole list.
+    fn watch_anew(self: &Arc<Desk>) {
+        let mut running = self.running();
+        running.revision = None;
+        let number = running.replace();
+        drop(running);
+        self.begin(number);
+    }
+
+    fn begin(self: &Arc<Desk>, number: u64) {
         let desk = Arc::clone(self);
         if threads::spawn("watch", self.limits.stack, move || desk.keep_watch(number)).is_err() {
             log!("no thread for the watch on the list");
-            self.tell(None);
+            self.teller.tell(None);
         }
     }
 
@@ -246,23 +273,26 @@
             let (wait, watches) = (turns.wait(Instant::now()), turns.watches());
             if !wait.is_zero() {
                 link = None;
-                self.lock().1 = None;
+                if !self.running().rests(number) {
+                    return;
+                }
                 thread::sleep(wait);
-                if self.lock().0 != number {
+                if self.running().number != number {
                     return;
                 }
             }
-            self.turns().asks(Instant::now());
+            let since = Instant::now();
+            self.turns().asks(since);
             let asked = self.ask(&mut link, number, watches.then_some(self.limits.watch_hold));
-            self.turns().answered(asked.is_ok());
             // A watch that was ended or replaced has nothing more to say. It is not replaced while it speaks:
             // its revision would pass for one of the next watch's discovery.
-            let running = self.lock();
-            if running.0 != number {
+            let mut running = self.running();
+            if running.number != number {
                 return;
             }
+            self.turns().answered(asked.is_ok());
             match asked {
-                Ok(listing) => self.tell(Some(listing)),
+                Ok((address, listing)) => self.tell(&mut running, address, listing),
                 Err(e) => {
                     drop(running);
                     log!("the watch on the list ended: {e}");
@@ -273,48 +303,54 @@
                         continue;
                     }
                     if !self.unasked {
-                        self.lock().1 = None;
-                        return self.tell(None);
+                        if self.running().rests(number) {
+                            self.teller.tell(None);
+                        }
+                        return;
                     }
-                    thread::sleep(self.limits.watch_pause);
+                    // Where it was long in coming what changed meanwhile counts as told by now.
+                    thread::sleep(self.limits.watch_pause.saturating_sub(since.elapsed()));
                 }
             }
         }
     }
 
-    fn read_once(&self) -> Result<Listing, Complaint> {
-        self.ask(&mut None, 0, None)
-    }
-
     /// One question: for changes with a hold, else, or where nothing known goes on, for the whole list.
-    fn ask(&self, link: &mut Option<Link>, watch: u64, hold: Option<Duration>) -> Result<Listing, Complaint> {
+    fn ask(
+        &self,
+        link: &mut Option<(SocketAddr, Link)>,
+        watch: u64,
+        hold: Option<Duration>,
+    ) -> Result<(SocketAddr, Listing), Complaint> {
         let from = Instant::now();
         let listing = self.question(link, watch, hold);
-        let told = listing.as_ref().map_or(-1, |listing| listing.members.len() as i64);
+        let told = listing.as_ref().map_or(-1, |(_, listing)| listing.members.len() as i64);
         log_account!(ms = from.elapsed().as_millis(), told; "asked");
         listing
     }
 
     fn question(
         &self,
-        link: &mut Option<Link>,
+        link: &mut Option<(SocketAddr, Link)>,
         watch: u64,
         hold: Option<Duration>,
-    ) -> Result<Listing, Complaint> {
+    ) -> Result<(SocketAddr, Listing), Complaint> {
         let limits = &*self.limits;
-        let (address, known) = (self.platform.address(), *self.revision());
-        if !link.as_ref().is_some_and(|link| link.sound(limits)) {
+        let address = self.platform.address();
+        // A reload moves the address before the watch hears of it.
+        let known = self.running().revision.filter(|(by, _)| *by == address).map(|(_, revision)| revision);
+        if !link.as_ref().is_some_and(|(at, link)| *at == address && link.sound(limits)) {
             let opened = Link::open(address, limits.connect_list).map_err(|e| e.to_string())?;
             if watch > 0 {
-                let mut running = self.lock();
-                if running.0 != watch {
+                let mut running = self.running();
+                if running.number != watch {
                     return Err("it is over".into());
                 }
-                running.1 = Some(Arc::clone(opened.stream()));
+                running.stream = Some(Arc::clone(opened.stream()));
             }
-            *link = Some(opened);
+            *link = Some((address, opened));
         }
-        let open = link.as_mut().expect("opened above");
+        let (_, open) = link.as_mut().expect("opened above");
         let hold = hold.zip(known);
         let line = match hold {
             Some((hold, from)) => format!("GET {PATH}?from={from}&hold_ms={}", hold.as_millis()),
@@ -338,6 +374,33 @@
         if hold.is_none() && !listing.complete {
             return Err("changes came where the whole list was asked for".into());
         }
-        Ok(listing)
+        Ok((address, listing))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Read;
+    use std::net::TcpListener;
+
+    /// A watch that was replaced while it spoke, or waited, comes to rest after its successor has a connection.
+    #[test]
+    fn a_watch_that_was_replaced_leaves_its_successors_connection_alone() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let open =
+            || Arc::new(TcpStream::connect(listener.local_addr().expect("bound")).expect("it listens"));
+        let mut running = Running { number: 0, stream: None, revision: None };
+        let first = running.replace();
+        running.stream = Some(open());
+        let mut seen = listener.accept().expect("one came").0;
+        let second = running.replace();
+        assert!(matches!(seen.read(&mut [0]), Ok(0)), "the first one's connection is shut");
+        running.stream = Some(open());
+        let mut seen = listener.accept().expect("one came").0;
+        assert!(!running.rests(first));
+        let third = running.replace();
+        assert!(matches!(seen.read(&mut [0]), Ok(0)), "so is the second one's, whatever the first did");
+        assert!(!running.rests(second) && running.rests(third));
     }
 }
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -34,16 +34,62 @@
     pub leave_by: Instant,
 }
 
+/// A call on its way. Each of its parts gets exactly one outcome, however the call ends: what nobody told when it is
+/// dropped, with a thread that ended or a mailbox that nobody reads any more, is told then. A submit without an outcome
+/// would hold its slot and its key for good.
 pub struct Call {
+    /// Those without an outcome so far.
     pub parts: Vec<Part>,
     pub sent: Instant,
+    /// From the first byte on an endpoint may run it.
+    left: bool,
+    /// Who hears of the outcomes; nobody while the decider itself has the call.
+    owed: Option<(EndpointId, Arc<Trunk>)>,
+}
+
+impl Call {
+    pub fn new(part: Part, sent: Instant) -> Call {
+        Call { parts: vec![part], sent, left: false, owed: None }
+    }
+
+    /// From now on its outcomes are told as those of this endpoint.
+    pub fn to(mut self, endpoint: EndpointId, trunk: &Arc<Trunk>) -> Call {
+        self.owed = Some((endpoint, Arc::clone(trunk)));
+        self
+    }
+
+    /// The parts, by whoever answers for them from now on.
+    pub fn into_parts(mut self) -> Vec<Part> {
+        self.owed = None;
+        std::mem::take(&mut self.parts)
+    }
+
+    /// Tells the outcome of each part.
+    fn tell(&mut self, mut word: impl FnMut(&Part) -> Said) {
+        if let Some((endpoint, trunk)) = &self.owed {
+            for part in self.parts.drain(..) {
+                let said = word(&part);
+                trunk.tell(*endpoint, self.sent, part.text, part.submit, said);
+            }
+        }
+    }
 }
 
+impl Drop for Call {
+    fn drop(&mut self) {
+        let verdict = if self.left { Verdict::Reset } else { Verdict::Moot };
+        self.tell(|_| verdict.into());
+    }
+}
+
+/// A text's submit, which a later one of the same text is not.
+pub type Submit = (TextId, usize);
+
 pub enum Ask {
     Call(Call),
-    Revoke(TextId),
+    Revoke(Submit),
     /// Not to be sent if it has not left yet.
-    Withhold(TextId),
+    Withhold(Submit),
     CloseIdle,
     /// The endpoint is off the list: its connections end as they come to rest, and then the actor.
     Retire,
@@ -65,8 +111,14 @@
 
     /// Has the one that rested longest closed; whether there was one.
     fn make_room(&self) -> bool {
-        let longest = self.lock().pop_first();
-        longest.is_some_and(|((_, _, number), peer)| peer.try_send(Ask::MakeRoom(number)).is_ok())
+        let mut resting = self.lock();
+        let Some((place, peer)) = resting.pop_first() else { return false };
+        let asked = peer.try_send(Ask::MakeRoom(place.2)).is_ok();
+        if !asked {
+            // It rests on, and may be asked again once its peer has time.
+            resting.insert(place, peer);
+        }
+        asked
     }
 }
 
@@ -89,9 +141,9 @@
     /// Whether the call has begun to leave, and whether it is not to.
     left: bool,
     withheld: bool,
-    texts: Vec<TextId>,
+    texts: Vec<Submit>,
     /// Those of them that were called back.
-    called_back: Vec<TextId>,
+    called_back: Vec<Submit>,
     stream: Option<Arc<TcpStream>>,
 }
 
@@ -139,7 +191,6 @@
                             Ok(line) => _ = lines.insert(number, line),
                             Err(why) => {
                                 log!("no connection to {} can be had: {why}", self.address);
-                                self.trunk.report(self.endpoint, &call, &call.parts, Verdict::Moot);
                                 continue;
                             }
                         }
@@ -150,14 +201,12 @@
                     }
                     {
                         let mut tie = lock(&line.tie);
-                        tie.texts = call.parts.iter().map(|part| part.text).collect();
+                        tie.texts = call.parts.iter().map(|part| (part.text, part.submit)).collect();
                         (tie.revoked, tie.left, tie.withheld) = (false, false, false);
                         tie.called_back.clear();
                     }
-                    if let Err(lost) = line.calls.try_send(call) {
-                        let call = lost.into_inner();
+                    if line.calls.try_send(call).is_err() {
                         lines.remove(&number);
-                        self.trunk.report(self.endpoint, &call, &call.parts, Verdict::Moot);
                     }
                 }
                 Ok(Ask::Revoke(text)) => lines.values().for_each(|line| {
@@ -222,20 +271,15 @@
             tie: Arc::clone(&tie),
             link: None,
         };
-        let (peer, endpoint) = (self.own.clone(), self.endpoint);
+        let peer = self.own.clone();
         let work = move || {
-            for call in inbox {
-                let sent = call.sent;
-                let parts: Vec<_> = call.parts.iter().map(|part| (part.text, part.submit)).collect();
+            while let Ok(mut call) = inbox.recv() {
                 let mut keeps = false;
                 let rests = || _ = peer.send(Ask::Rests(number));
-                if !threads::survives(|| keeps = carrier.carry(call, rests)) {
-                    // A submit without an outcome would hold its slot for good.
+                if !threads::survives(|| keeps = carrier.carry(&mut call, rests)) {
+                    // Before the call is dropped, and its outcome told: nothing may meet an open first copy.
                     carrier.drop_link();
-                    let reset = |(text, submit)| {
-                        carrier.trunk.tell(endpoint, sent, text, submit, Verdict::Reset.into())
-                    };
-                    parts.into_iter().for_each(reset);
+                    keeps = false;
                 }
                 if !keeps {
                     break;
@@ -245,6 +289,9 @@
             // The right to a descriptor goes back after the descriptor.
             drop(carrier);
             drop(token);
+            // A call that was handed over when this had said that it rests ends with the way to it, which the peer gives
+            // up when it hears that this is over.
+            drop(inbox);
             _ = peer.send(Ask::Over(number));
         };
         match threads::spawn("link", trunk.limits.stack, work) {
@@ -293,18 +340,6 @@
         }
     }
 
-    fn report<'a>(
-        &self,
-        endpoint: EndpointId,
-        call: &Call,
-        parts: impl IntoIterator<Item = &'a Part>,
-        verdict: Verdict,
-    ) {
-        for part in parts {
-            self.tell(endpoint, call.sent, part.text, part.submit, Said::from(verdict));
-        }
-    }
-
     fn tell(&self, endpoint: EndpointId, sent: Instant, text: TextId, submit: usize, word: Said) {
         let counters = &self.counters;
         let counter = match word.verdict {
@@ -343,14 +378,15 @@
     /// Carries one call to its end; whether the connection can carry another. The peer hears that it rests
     /// before the decider hears the outcome: a call that follows on it would else open a new one. One that does
     /// not rest is ended before the outcome is told, so that nothing can meet an open first copy.
-    fn carry(&mut self, call: Call, rests: impl FnOnce()) -> bool {
+    fn carry(&mut self, call: &mut Call, rests: impl FnOnce()) -> bool {
+        let sent = self.send(call);
         let many = call.parts.len() > 1;
-        let (head, body) = match self.send(&call).and_then(|()| self.await_head(&call, many)) {
+        let (head, body) = match sent.and_then(|()| self.await_head(call, many)) {
             Ok(answer) => answer,
             Err(verdict) => {
                 self.drop_link();
                 let verdict = if lock(&self.tie).revoked { Verdict::Cancelled } else { verdict };
-                self.trunk.report(self.endpoint, &call, &call.parts, verdict);
+                call.tell(|_| verdict.into());
                 return false;
             }
         };
@@ -362,11 +398,11 @@
         }
         match body {
             // The first line alone tells that a single text was delivered, whatever is wrong with the rest.
-            _ if !many && head.status == 200 => self.tell_all(&call, &head, None),
-            Some(_) if head.status != 200 => self.tell_all(&call, &head, None),
-            Some(body) => self.tell_all(&call, &head, Some(&body)),
+            _ if !many && head.status == 200 => self.tell_all(call, &head, None),
+            Some(_) if head.status != 200 => self.tell_all(call, &head, None),
+            Some(body) => self.tell_all(call, &head, Some(&body)),
             // Nothing else in it can be believed, not even that it never ran.
-            None => self.trunk.report(self.endpoint, &call, &call.parts, Verdict::Error),
+            None => call.tell(|_| Verdict::Error.into()),
         }
         keeps
     }
@@ -388,23 +424,33 @@
         Verdict::Moot
     }
 
-    /// Sends the call; an error means that its last byte has not left.
-    fn send(&mut self, call: &Call) -> Result<(), Verdict> {
+    /// Sends the call; an error means that its last byte has not left. A text whose time is up before the call can leave
+    /// stays behind: the others of its call don't hang on it.
+    fn send(&mut self, call: &mut Call) -> Result<(), Verdict> {
         if !self.link.as_ref().is_some_and(|link| link.sound(&self.trunk.limits)) {
             self.drop_link();
-            let first = call.parts.iter().map(|part| part.by).min().unwrap_or(call.sent);
-            let left = first.saturating_duration_since(Instant::now());
+            let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
+            let left = latest.saturating_duration_since(Instant::now());
             log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
             let opened = Link::open(self.address, left.min(self.trunk.connect_time));
             self.link = Some(opened.map_err(|e| self.unopened(&e))?);
         }
+        let now = Instant::now();
+        let late = call.parts.extract_if(.., |part| now >= part.by.min(part.leave_by)).collect();
+        drop(Call { parts: late, sent: call.sent, left: false, owed: call.owed.clone() });
+        if call.parts.is_empty() {
+            return Err(Verdict::Moot);
+        }
         let link = self.link.as_mut().expect("opened above");
         {
             let mut tie = lock(&self.tie);
+            tie.texts = call.parts.iter().map(|part| (part.text, part.submit)).collect();
+            let Tie { texts, called_back, .. } = &mut *tie;
+            called_back.retain(|back| texts.contains(back));
             if tie.revoked {
                 return Err(Verdict::Cancelled);
             }
-            if tie.withheld || call.parts.iter().any(|part| Instant::now() >= part.leave_by) {
+            if tie.withheld {
                 return Err(Verdict::Moot);
             }
             tie.left = true;
@@ -430,6 +476,7 @@
             http::put_request(&mut link.outward, "POST /v1/messages:batch", &host, &headers, &body);
         }
         let by = call.parts.iter().map(|part| part.by.min(part.leave_by)).min().unwrap_or(call.sent);
+        call.left = true;
         link.send(by).map_err(|_| Verdict::ConnectFailed)?;
         self.trunk.figures.sends.add(call.parts.len());
         Ok(())
@@ -459,24 +506,25 @@
         Ok((head, body.ok()))
     }
 
-    fn tell_all(&self, call: &Call, head: &AnswerHead, body: Option<&[u8]>) {
+    fn tell_all(&self, call: &mut Call, head: &AnswerHead, body: Option<&[u8]>) {
         let ends = body.map(|body| {
             let lines = String::from_utf8_lossy(body).into_owned();
             let pairs = lines.lines().filter_map(|line| line.trim().split_once(' '));
             pairs.map(|(id, end)| (id.to_owned(), end.trim().to_owned())).collect::<BTreeMap<_, _>>()
         });
-        for part in &call.parts {
+        let many = call.parts.len() > 1;
+        call.tell(|part| {
             let word = match &ends {
                 // A call of several that can't be read, or is too large, ran for none of them.
-                None if call.parts.len() > 1 && matches!(head.status, 400 | 413) => Verdict::Moot.into(),
+                None if many && matches!(head.status, 400 | 413) => Verdict::Moot.into(),
                 None => read_status(head),
                 Some(ends) => read_end(ends.get(&part.id).map(String::as_str), head),
             };
             if word.verdict == Verdict::Error && !matches!(head.status, 200 | 500) {
                 log!("{} answered a call with {}", self.address, head.status);
             }
-            self.trunk.tell(self.endpoint, call.sent, part.text, part.submit, word);
-        }
+            word
+        });
     }
 }
 
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -2,9 +2,9 @@
 
 use crate::list::Listed;
 use crate::peer::Ask;
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Sender, TrySendError};
 use indigomast::api::{Condition, EndpointId, KindId, ZoneId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,10 @@
     pub units: f64,
     pub condition: Condition,
     pub peer: Option<Sender<Ask>>,
+    /// Those that get no call any more but may still have some out, which what is decided from now on has to reach.
+    retired: Vec<Sender<Ask>>,
+    /// What their full mailboxes had no room for.
+    unasked: VecDeque<(Sender<Ask>, Ask)>,
     /// Submits without an outcome.
     pub out: usize,
     off_since: Option<Instant>,
@@ -24,8 +28,36 @@
 
 impl Place {
     /// Its connections end as they come to rest.
-    pub fn retire(&mut self) {
-        self.peer.take().iter().for_each(|peer| _ = peer.try_send(Ask::Retire));
+    fn retire(&mut self) {
+        if let Some(peer) = self.peer.take() {
+            self.send(peer.clone(), Ask::Retire);
+            if self.out > 0 {
+                self.retired.push(peer);
+            }
+        }
+    }
+
+    /// One of its submits has its outcome.
+    pub fn came_back(&mut self) {
+        self.out -= 1;
+        if self.out == 0 {
+            self.retired.clear();
+        }
+    }
+
+    /// Asks of one peer stay in order.
+    fn send(&mut self, peer: Sender<Ask>, ask: Ask) {
+        if self.unasked.iter().any(|(other, _)| other.same_channel(&peer)) {
+            self.unasked.push_back((peer, ask));
+        } else if let Err(TrySendError::Full(ask)) = peer.try_send(ask) {
+            self.unasked.push_back((peer, ask));
+        }
+    }
+
+    fn send_again(&mut self) {
+        for (peer, ask) in std::mem::take(&mut self.unasked) {
+            self.send(peer, ask);
+        }
     }
 }
 
@@ -37,6 +69,8 @@
     places: BTreeMap<EndpointId, Place>,
     next: usize,
     off: VecDeque<(Instant, EndpointId)>,
+    /// Those with asks that found a full mailbox.
+    full: BTreeSet<EndpointId>,
 }
 
 impl Places {
@@ -59,6 +93,8 @@
                 units,
                 condition,
                 peer: None,
+                retired: Vec::new(),
+                unasked: VecDeque::new(),
                 out: 0,
                 off_since: None,
             }
@@ -92,22 +128,60 @@
         places
     }
 
+    /// The connections of an endpoint end as they come to rest; a later call opens new ones.
+    pub fn retire(&mut self, at: EndpointId) {
+        if let Some(place) = self.places.get_mut(&at) {
+            place.retire();
+            if !place.unasked.is_empty() {
+                self.full.insert(at);
+            }
+        }
+    }
+
+    /// Asks whoever has calls out to an endpoint, or connections at rest. What is lost of that goes out to one that the
+    /// list has just said drains, so a mailbox that is full is asked again.
+    pub fn ask(&mut self, at: EndpointId, ask: Ask) {
+        let Some(place) = self.places.get_mut(&at) else { return };
+        let peers: Vec<_> = place.peer.iter().chain(&place.retired).cloned().collect();
+        for peer in peers {
+            let ask = match ask {
+                Ask::Revoke(submit) => Ask::Revoke(submit),
+                Ask::Withhold(submit) => Ask::Withhold(submit),
+                // What rests at one that is retired is ended already.
+                _ => Ask::CloseIdle,
+            };
+            place.send(peer, ask);
+            if !place.unasked.is_empty() {
+                self.full.insert(at);
+            }
+        }
+    }
+
+    /// Asks again what found mailboxes full.
+    pub fn ask_again(&mut self) {
+        for at in std::mem::take(&mut self.full) {
+            let Some(place) = self.places.get_mut(&at) else { continue };
+            place.send_again();
+            if !place.unasked.is_empty() {
+                self.full.insert(at);
+            }
+        }
+    }
+
     pub fn get(&mut self, at: EndpointId) -> Option<&mut Place> {
         self.places.get_mut(&at)
     }
 
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (EndpointId, &mut Place)> {
-        self.places.iter_mut().map(|(at, place)| (*at, place))
+    pub fn all(&self) -> Vec<EndpointId> {
+        self.places.keys().copied().collect()
     }
 
     pub fn leaves(&mut self, at: EndpointId) {
-        if let Some(place) = self.places.get_mut(&at) {
-            place.retire();
-            if place.off_since.is_none() {
-                let now = Instant::now();
-                place.off_since = Some(now);
-                self.off.push_back((now, at));
-            }
+        self.retire(at);
+        if let Some(place) = self.places.get_mut(&at).filter(|place| place.off_since.is_none()) {
+            let now = Instant::now();
+            place.off_since = Some(now);
+            self.off.push_back((now, at));
         }
     }
 
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -1,5 +1,6 @@
 mod admission;
 mod common;
+mod crossings;
 mod forms;
 mod kills;
 mod operations;
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -218,7 +218,7 @@
     );
     let (own, asks) = bounded(8);
     let (address, trunk) = (endpoint.address, Arc::new(trunk));
-    let peer = Peer { endpoint: EndpointId(0), address, trunk, own: own.clone() };
+    let peer = Peer { endpoint: EndpointId(0), address, trunk: Arc::clone(&trunk), own: own.clone() };
     let work = thread::spawn(move || peer.run(asks));
     let sent = Instant::now();
     let part = |at: usize, millis| {
@@ -233,7 +233,8 @@
             leave_by: by,
         }
     };
-    let call = Call { parts: vec![part(0, 200), part(1, 500)], sent };
+    let mut call = Call::new(part(0, 200), sent).to(EndpointId(0), &trunk);
+    call.parts.push(part(1, 500));
     own.send(Ask::Call(call)).expect("it listens");
     let unanswered = endpoint.next();
     for _ in 0..2 {
@@ -248,33 +249,43 @@
     work.join().expect("no panic");
 }
 
-/// A peer, and the mailbox of its decider.
-fn peer(endpoint: &Host) -> (Sender<Ask>, Receiver<Word>) {
+/// What peers share, and the mailbox of their decider.
+pub fn trunk() -> (Arc<Trunk>, Receiver<Word>) {
     let Lone { actor, .. } = lone();
     let (decider, words) = unbounded();
-    let trunk = Trunk { decider, ..Arc::into_inner(actor.trunk).expect("nobody else has it") };
+    (Arc::new(Trunk { decider, ..Arc::into_inner(actor.trunk).expect("nobody else has it") }), words)
+}
+
+/// A peer, what it shares, and the mailbox of its decider.
+pub fn peer(endpoint: &Host) -> (Sender<Ask>, Arc<Trunk>, Receiver<Word>) {
+    let (trunk, words) = trunk();
     let (own, asks) = bounded(8);
-    let peer =
-        Peer { endpoint: EndpointId(0), address: endpoint.address, trunk: Arc::new(trunk), own: own.clone() };
+    let shared = Arc::clone(&trunk);
+    let peer = Peer { endpoint: EndpointId(0), address: endpoint.address, trunk: shared, own: own.clone() };
     thread::spawn(move || peer.run(asks));
-    (own, words)
+    (own, trunk, words)
 }
 
-fn call(texts: usize, leave_by: Instant) -> Ask {
-    let (sent, by) = (Instant::now(), Instant::now() + crate::common::PATIENCE);
-    let part = |at| Part {
+pub fn part(at: usize, by: Instant) -> Part {
+    Part {
         text: TextId(at),
         submit: 0,
         id: format!("t{at}"),
         mark: None,
         body: Arc::default(),
         by,
-        leave_by,
-    };
-    Ask::Call(Call { parts: (0..texts).map(part).collect(), sent })
+        leave_by: by,
+    }
+}
+
+pub fn call(trunk: &Arc<Trunk>, parts: impl IntoIterator<Item = Part>) -> Call {
+    let mut parts = parts.into_iter();
+    let mut call = Call::new(parts.next().expect("one at least"), Instant::now()).to(EndpointId(0), trunk);
+    call.parts.extend(parts);
+    call
 }
 
-fn verdict(words: &Receiver<Word>) -> Verdict {
+pub fn verdict(words: &Receiver<Word>) -> Verdict {
     match words.recv_timeout(crate::common::PATIENCE) {
         Ok(Word::Outcome(outcome)) => outcome.verdict,
         _ => panic!("an outcome was due"),
@@ -285,12 +296,13 @@
 #[test]
 fn a_call_of_several_ends_once_all_of_its_texts_are_called_back() {
     let endpoint = Host::open();
-    let (peer, words) = peer(&endpoint);
-    peer.send(call(2, Instant::now() + crate::common::PATIENCE)).expect("it listens");
+    let (peer, trunk, words) = peer(&endpoint);
+    let by = Instant::now() + crate::common::PATIENCE;
+    peer.send(Ask::Call(call(&trunk, [part(0, by), part(1, by)]))).expect("it listens");
     let _unanswered = endpoint.next();
-    [0, 0].into_iter().for_each(|at| peer.send(Ask::Revoke(TextId(at))).expect("it listens"));
+    [0, 0].into_iter().for_each(|at| peer.send(Ask::Revoke((TextId(at), 0))).expect("it listens"));
     assert!(words.recv_timeout(Duration::from_millis(50)).is_err(), "the other is wanted still");
-    peer.send(Ask::Revoke(TextId(1))).expect("it listens");
+    peer.send(Ask::Revoke((TextId(1), 0))).expect("it listens");
     assert_eq!([verdict(&words), verdict(&words)], [Verdict::Cancelled; 2]);
 }
 
@@ -298,13 +310,14 @@
 #[test]
 fn a_call_leaves_in_time_or_not_at_all() {
     let endpoint = Host::open();
-    let (peer, words) = peer(&endpoint);
-    peer.send(call(1, Instant::now())).expect("it listens");
+    let (peer, trunk, words) = peer(&endpoint);
+    peer.send(Ask::Call(call(&trunk, [part(0, Instant::now())]))).expect("it listens");
     assert_eq!(verdict(&words), Verdict::Moot);
     assert!(endpoint.is_quiet());
-    peer.send(call(1, Instant::now() + crate::common::PATIENCE)).expect("it listens");
+    let by = Instant::now() + crate::common::PATIENCE;
+    peer.send(Ask::Call(call(&trunk, [part(0, by)]))).expect("it listens");
     let left = endpoint.next();
-    peer.send(Ask::Withhold(TextId(0))).expect("it listens");
+    peer.send(Ask::Withhold((TextId(0), 0))).expect("it listens");
     left.status(200);
     assert_eq!(verdict(&words), Verdict::Delivered);
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -178,6 +178,9 @@
     /// A text taken on by an earlier life of this sender, whose end is still owed. Told in the order in which
     /// they were taken, before any later text of their key.
     Resumed(Handed, Past),
+    /// A text that an earlier life of this sender ended, without whoever asked for it having heard: its key waits until
+    /// [`Event::Told`], and nothing else is owed for it.
+    Untold(Handed),
     /// The text's nack or undeliverable report has reached the one who asked for it; until then the text is
     /// not over and its key waits.
     Told(TextId),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -109,6 +109,8 @@
     untold: bool,
     /// It shared a call that ran for nobody, and may be what spoilt it: it shares no other.
     alone: bool,
+    /// Taken on by an earlier process. It was promised then, and gets a call before it is given up.
+    resumed: bool,
     place: Place,
 }
 
@@ -123,7 +125,7 @@
 struct Hold {
     fresh: BTreeSet<TextId>,
     ready: BTreeSet<TextId>,
-    /// Ready texts in doubt, by the end of their receiver's memory.
+    /// Ready texts in doubt, by the end of their receiver's memory, and untried ones of an earlier process.
     fading: BTreeSet<(Moment, TextId)>,
     /// Texts never in doubt and not out, which may be given up to make room.
     sure: BTreeSet<TextId>,
@@ -411,9 +413,13 @@
         for event in events {
             match event {
                 Event::Listed { scope, entries } => self.listed(scope, entries),
-                Event::Taken(handed) => self.taken(handed, None),
-                Event::Resumed(handed, past) => self.taken(handed, Some(past)),
-                Event::Told(text) => self.told(text),
+                Event::Taken(handed) => self.taken(handed, None, false),
+                Event::Resumed(handed, past) => self.taken(handed, Some(past), false),
+                Event::Untold(handed) => self.taken(handed, Some(Past::default()), true),
+                Event::Told(id) => {
+                    self.texts.get_mut(&id).into_iter().for_each(|text| text.untold = false);
+                    self.end(id);
+                }
                 Event::Outcome(outcome) => self.outcome(outcome),
                 Event::Withdrawn(text) => self.end(text),
                 Event::Maintained { endpoint, out } => self.maintained(endpoint, out),
@@ -518,19 +524,20 @@
     }
 
     /// What was handed in before a restart is no demand of now; what of it may not go again ends at once.
-    fn taken(&mut self, handed: Handed, past: Option<Past>) {
+    fn taken(&mut self, handed: Handed, past: Option<Past>, untold: bool) {
         let Handed { text: id, product, dest, key, valid_until } = handed;
-        let Past { submits, doubt } = past.unwrap_or_default();
+        let (resumed, Past { submits, doubt }) = (past.is_some(), past.unwrap_or_default());
         let key = key.filter(|_| self.settings.products[product.0].in_order);
-        let (place, out, untold, alone) = (Place::Behind, None, false, false);
-        let text = Text { dest, product, key, valid_until, submits, out, doubt, untold, alone, place };
+        let (place, out, alone) = (Place::Behind, None, false);
+        let text =
+            Text { dest, product, key, valid_until, submits, out, doubt, untold, alone, resumed, place };
         self.dues.insert((valid_until - ANSWER_MARGIN, Due::End(id)));
         self.dues.extend(self.memory_ends(&text).map(|end| (end, Due::End(id))));
-        let over = !self.may_go_again(&text);
+        let over = !untold && !self.may_go_again(&text);
         self.texts.insert(id, text);
         let now = self.now;
         let hold = self.holds.entry(dest).or_default();
-        hold.asked = hold.asked * hold.faded(now) + f64::from(u8::from(past.is_none()));
+        hold.asked = hold.asked * hold.faded(now) + f64::from(u8::from(!resumed));
         hold.asked_at = now;
         self.count_held(dest, 1);
         self.put(id, Place::Behind);
@@ -547,12 +554,7 @@
         }
         if over {
             self.give_up(id);
-        }
-    }
-
-    fn told(&mut self, id: TextId) {
-        if let Some(text) = self.texts.get_mut(&id) {
-            text.untold = false;
+        } else if untold {
             self.end(id);
         }
     }
@@ -566,23 +568,20 @@
     }
 
     fn put(&mut self, id: TextId, place: Place) {
-        let memory_ends = self.memory_ends(&self.texts[&id]);
+        let fades = self.fades(&self.texts[&id]);
         let text = self.texts.get_mut(&id).expect("only texts at hand are moved");
         let hold = self.holds.get_mut(&text.dest).expect("a text at hand has its hold");
         let place = if place == Place::Fresh && text.submits > 0 { Place::Ready } else { place };
         hold.fresh.remove(&id);
         hold.ready.remove(&id);
         hold.sure.remove(&id);
-        memory_ends.map(|end| hold.fading.remove(&(end, id)));
-        match place {
-            Place::Fresh => _ = hold.fresh.insert(id),
-            Place::Ready => {
-                hold.ready.insert(id);
-                memory_ends.map(|end| hold.fading.insert((end, id)));
-            }
-            _ => {}
+        fades.map(|end| hold.fading.remove(&(end, id)));
+        if matches!(place, Place::Fresh | Place::Ready) {
+            if place == Place::Fresh { &mut hold.fresh } else { &mut hold.ready }.insert(id);
+            hold.fading.extend(fades.map(|end| (end, id)));
         }
-        if !matches!(place, Place::Out | Place::Ended) && text.doubt.is_none() {
+        let untried = text.resumed && text.submits == 0;
+        if !matches!(place, Place::Out | Place::Ended) && text.doubt.is_none() && !untried {
             hold.sure.insert(id);
         }
         self.touched.insert(text.dest);
@@ -626,6 +625,11 @@
         self.settings.products[text.product.0].repeat
     }
 
+    /// When it is too late for a text that must not wait for fresh ones until then.
+    fn fades(&self, text: &Text) -> Option<Moment> {
+        if text.resumed && text.submits == 0 { Some(text.valid_until) } else { self.memory_ends(text) }
+    }
+
     fn memory_ends(&self, text: &Text) -> Option<Moment> {
         match (self.repeat(text), text.doubt) {
             (Repeat::Referenced { memory, .. }, Some((sent, _))) => Some(sent + memory - MEMORY_MARGIN),
@@ -697,8 +701,8 @@
                 if text.place == Place::Ended {
                     return;
                 }
-                // The cut submit should answer first; this stands behind it should that answer fail to come. Texts that
-                // share a call are answered with the last of them, so the time of one may be up long before.
+                // The cut submit should answer first; this stands behind it should that answer fail to come. Texts
+                // of one call are answered with the last of them, so the time of one may be up long before.
                 let shares = text.out.is_some_and(|call| self.calls[&call].texts.len() > 1);
                 let cut = text.valid_until - CUT_MARGIN + self.settings.tick * 2.0;
                 let latest = if shares { text.valid_until - ANSWER_MARGIN } else { cut };
@@ -732,7 +736,10 @@
         let call = self.calls.get_mut(&call_id).expect("a submit that is out has its call");
         let Call { sent, endpoint, cut_short, .. } = *call;
         text.alone |= call.texts.len() > 1 && outcome.verdict == Verdict::Moot;
-        let first_word = !std::mem::replace(&mut call.judged, true);
+        // A text that stayed behind says nothing of the call that left without it.
+        let left = outcome.verdict != Verdict::Moot;
+        let first_word = !call.judged && (left || call.texts_out == call.texts.len());
+        call.judged |= left;
         call.texts_out -= 1;
         let done = call.texts_out == 0;
         if !outcome.verdict.never_ran() && outcome.verdict != Verdict::Delivered {
@@ -950,8 +957,8 @@
         handed.max(known.max(LEAST_RATE) / self.settings.senders.max(1) as f64)
     }
 
-    /// What a sender allows itself of a rate before it has met its limit. Where refused calls cost, many that start
-    /// far above their parts would use the limit up for all until each has been turned away often enough.
+    /// What a sender allows itself of a rate before it has met its limit. Where refused calls cost, many that
+    /// start far above their parts would use the limit up for all until each has been turned away often enough.
     fn first_pace(&self, id: LaneId, rate: f64) -> f64 {
         let first = if self.settings.turned_away_price > 0.0 { 0.0 } else { FIRST_PART };
         self.part(id).min(rate).max(rate * (2.0 / (self.settings.senders as f64 + 1.0)).max(first))
@@ -1097,8 +1104,8 @@
         if chosen.is_empty() {
             return false;
         }
-        // A receiver knows a call by its first text and by the one time told for all: these have to agree, or an answer
-        // that comes between the two ends texts here that are not over there.
+        // A receiver knows a call by its first text and by the one time told for all: these have to agree, or an
+        // answer that comes between the two ends texts here that are not over there.
         chosen.sort_by_key(|id| Reverse(self.texts[id].valid_until));
         let (call, mut cut_short) = (self.next_call, false);
         self.next_call += 1;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -457,6 +457,56 @@
     }
 }
 
+/// What an earlier process promised and did not try: where room is short, and behind as many fresh texts as can go.
+#[test]
+fn a_text_left_untried_by_an_earlier_process_is_tried() {
+    let resumed = |bench: &mut Bench, lives| match bench.taken(0, 0, None, lives) {
+        Event::Taken(handed) => Event::Resumed(handed, Past::default()),
+        _ => unreachable!("as it is made"),
+    };
+    // Far more than may be held from now on: none is given up for room, and none gets in beside them.
+    let mut bench = Bench::new(Settings { slots: 2, max_held: 10, ..settings() }, 0);
+    let events = (0..50).map(|_| resumed(&mut bench, 20_000.0)).collect();
+    let ended = |a: &Action| matches!(a, Action::Nack { .. } | Action::Undeliverable { .. });
+    assert!(!bench.step(events).iter().any(ended));
+    // One call at a time, and always a fresh text to go first: its turn comes before its time is up.
+    let mut bench = Bench::new(Settings { slots: 1, ..settings() }, 0);
+    let mut sent = submits(&bench.take(1, 0, 0));
+    let event = resumed(&mut bench, 6_000.0);
+    bench.step(vec![event]);
+    let mut tried = None;
+    while bench.now < 6_000.0 && tried.is_none() {
+        bench.now += 100.0;
+        let fresh = bench.taken(0, 0, None, 20_000.0);
+        bench.step(vec![fresh]);
+        if let Some((text, endpoint)) = sent.pop() {
+            sent = submits(&bench.answer(text, endpoint, Verdict::Delivered, None));
+        }
+        sent.extend(submits(&bench.pass(1.0).into_iter().map(|(_, action)| action).collect::<Vec<_>>()));
+        tried = sent.iter().any(|(text, _)| *text == 1).then_some(bench.now);
+    }
+    assert!(
+        tried.is_some_and(|at| at > 3_000.0),
+        "{tried:?}: fresh ones first, but not until it is too late"
+    );
+}
+
+/// Guards against a key that stands still behind a report that nobody answers: what is behind it ends in its time.
+#[test]
+fn texts_behind_an_untold_end_of_an_earlier_process_wait_and_end_in_time() {
+    let mut bench = Bench::new(settings(), 0);
+    let Event::Taken(first) = bench.taken(4, 0, Some(1), 0.0) else { unreachable!("as it is made") };
+    let behind = [500.0, 20_000.0].map(|lives| bench.taken(4, 0, Some(1), lives));
+    let mut events = vec![Event::Untold(first)];
+    events.extend(behind);
+    assert!(bench.step(events).is_empty());
+    let done = bench.pass(1_000.0);
+    let [(at, Action::Nack { text: TextId(1), .. })] = done[..] else { panic!("{done:?}") };
+    assert!(at < 500.0);
+    let sent = bench.step(vec![Event::Told(TextId(0)), Event::Told(TextId(1))]);
+    assert_eq!(submits(&sent).len(), 1, "{sent:?}");
+}
+
 /// Guards against one text that can't be read and spoils the call of all that travel with it until its submits are
 /// spent, and theirs.
 #[test]
