Connections at rest are shut where a crowd of them keeps other senders out

Each sender keeps a connection at rest for 10 s and so keeps the others out; close_idle did nothing, as a Full was no lost connection and texts come more often than every 5 s.

Ruled out: the limit itself (2 Fulls with a report in 13,000), outages, time-outs (20). Lines at fault: src/rules.rs, outcome (`lost` knows ConnectFailed, Reset, TimeOut) and close_idle (`pause`). Change: where answers tell limits by the settings, a Full without a word marks its kind as crowded for 20 s; what comes to rest there is shut. Harm: a receiver that is shut says as little, and connections to it are closed for nothing.

--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -418,6 +418,7 @@
         localities: zones,
         family_info: FamilyInfo {
             turned_away_price: 0.0,
+            report_x0: None,
             call_slots: slots,
             kind_batch: kinds.iter().map(|kind| kind.1).collect(),
             routes_apart: kinds.iter().map(|kind| kind.2).collect(),
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -143,6 +143,9 @@
     pub routes_apart: Vec<bool>,
     #[serde(default)]
     pub turned_away_price: f64,
+    /// What the first value of a load report means; there where answers have reports.
+    #[serde(default)]
+    pub report_x0: Option<String>,
 }
 
 #[derive(Deserialize, PartialEq)]
@@ -236,6 +239,7 @@
                 .then(|| Span::from_millis(info.ceilings.max_retry_after_ms)),
             may_revoke: info.ceilings.cancel,
             turned_away_price: info.family_info.turned_away_price,
+            tells_limits: info.family_info.report_x0.is_some(),
             tick: Span::from_millis(info.tick_ms),
             keeps_alive: Span::from_millis(info.ceilings.keepalive_ms),
             cold_share: info.obligations.cold_share,
--- a/src/api.rs
+++ b/src/api.rs
@@ -72,6 +72,8 @@
     pub may_revoke: bool,
     /// What it would cost if a call were turned away for each text, as a part of all revenue.
     pub turned_away_price: f64,
+    /// Answers tell how much of a receiver's limit is left.
+    pub tells_limits: bool,
     pub tick: Span,
     /// An idle connection is shut after so long.
     pub keeps_alive: Span,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -209,9 +209,7 @@
         self.strikes += if rare { 2 * weight } else { weight };
         self.struck_at = now;
         if self.strikes >= STRIKES_OUT {
-            self.state = State::Down;
-            self.since = now;
-            self.gap = FIRST_TRIAL;
+            (self.state, self.since, self.gap) = (State::Down, now, FIRST_TRIAL);
             self.next = now + self.gap * jitter;
         }
     }
@@ -309,6 +307,8 @@
     held: usize,
     /// When a call to a kind of destination last found no connection, or was lost on one that had rested.
     lost: BTreeMap<KindId, Moment>,
+    /// When one last turned a call away for want of room for its connection, it seems.
+    crowded: BTreeMap<KindId, Moment>,
     longest: BTreeSet<(usize, DestId)>,
     asks_failed: u32,
     /// Another process takes over: nothing new goes out.
@@ -325,10 +325,9 @@
     }
 
     fn opens(&self, slots: usize) -> Option<Moment> {
-        let paced = self.paced - PACE_EARLY;
         let healthy = self.health.opens(self.calls.len())?;
         let room = self.calls.len() < self.window.min(self.cap(slots));
-        room.then(|| self.wait_until.max(paced).max(healthy))
+        room.then(|| self.wait_until.max(self.paced - PACE_EARLY).max(healthy))
     }
 
     /// One overload answers many calls at once; those that left before the last cut count with it.
@@ -416,12 +415,11 @@
                 Event::Taken(handed) => self.taken(handed, None, false),
                 Event::Resumed(handed, past) => self.taken(handed, Some(past), false),
                 Event::Untold(handed) => self.taken(handed, Some(Past::default()), true),
-                Event::Told(id) => {
+                Event::Told(id) | Event::Withdrawn(id) => {
                     self.texts.get_mut(&id).into_iter().for_each(|text| text.untold = false);
                     self.end(id);
                 }
                 Event::Outcome(outcome) => self.outcome(outcome),
-                Event::Withdrawn(text) => self.end(text),
                 Event::Maintained { endpoint, out } => self.maintained(endpoint, out),
                 Event::Settings(settings) => self.settings = settings,
                 Event::Quiet(on) => self.quiet = on,
@@ -701,8 +699,8 @@
                 if text.place == Place::Ended {
                     return;
                 }
-                // The cut submit should answer first; this stands behind it should that answer fail to come. Texts
-                // of one call are answered with the last of them, so the time of one may be up long before.
+                // The cut submit should answer first; this stands behind it should that answer fail to come.
+                // A call's texts are answered with the last of them: the time of one may be up long before.
                 let shares = text.out.is_some_and(|call| self.calls[&call].texts.len() > 1);
                 let cut = text.valid_until - CUT_MARGIN + self.settings.tick * 2.0;
                 let latest = if shares { text.valid_until - ANSWER_MARGIN } else { cut };
@@ -772,8 +770,14 @@
             }
         }
         if first_word {
-            if matches!(outcome.verdict, Verdict::ConnectFailed | Verdict::Reset | Verdict::TimeOut) {
-                self.lost.insert(self.endpoints[&endpoint].kind, self.now);
+            // One that tells of its limit and says nothing now has no room for a connection, idle ones too:
+            // those that rest keep others out. Where it is shut instead, they are closed for nothing.
+            let wordless = outcome.told_wait.is_none() && outcome.allowance.is_none();
+            let kind = self.endpoints[&endpoint].kind;
+            if outcome.verdict == Verdict::Full && self.settings.tells_limits && wordless {
+                self.crowded.insert(kind, self.now);
+            } else if matches!(outcome.verdict, Verdict::ConnectFailed | Verdict::Reset | Verdict::TimeOut) {
+                self.lost.insert(kind, self.now);
             }
             self.judge(endpoint, sent, cut_short, &outcome);
         }
@@ -808,23 +812,19 @@
     }
 
     fn judge(&mut self, endpoint_id: EndpointId, sent: Moment, cut_short: bool, outcome: &Outcome) {
-        let now = self.now;
+        let (now, slots, cold) = (self.now, self.settings.slots, self.settings.cold_span);
         let lane_id = self.lane_of(endpoint_id);
-        let turn = self.turn(lane_id);
-        let cold = self.settings.cold_span;
-        let common = self.common_rise();
+        let (turn, common) = (self.turn(lane_id), self.common_rise());
         // A pace that nothing pressed against has shown nothing.
         let backlog =
             self.holds.get(&lane_id.0).is_some_and(|hold| !hold.fresh.is_empty() || !hold.ready.is_empty());
-        let known = self.known_rate(lane_id);
-        let part = self.part(lane_id);
+        let (known, part) = (self.known_rate(lane_id), self.part(lane_id));
         let gap = Span::from_millis(1000.0 / part.max(1e-3));
         let jitter = 0.8 + 0.4 * self.chance.share();
         let unpaced = self.lanes[&lane_id].pace == 0.0;
         let told = outcome.allowance.filter(|told| told.calls_per_sec > 0.0);
         let start = told.filter(|_| unpaced).map(|told| self.first_pace(lane_id, told.calls_per_sec));
         let scarce = told.is_some_and(|told| told.share_left < SCARCE);
-        let slots = self.settings.slots;
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
         let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
         if let Some(allowance) = outcome.allowance {
@@ -944,8 +944,10 @@
         let hold = &self.holds[&at.dest];
         let pause = hold.endpoints.len() as f64 / self.demand(at.dest).max(1e-3);
         let idle = at.calls.is_empty() && hold.fresh.is_empty() && hold.ready.is_empty();
-        let lost = self.lost.get(&at.kind).is_some_and(|lost| self.now.since(*lost) < LOST_SPAN);
-        if lost && idle && pause > self.settings.keeps_alive.as_secs() * KEPT_PART {
+        let lately = |at: Option<&Moment>| at.is_some_and(|at| self.now.since(*at) < LOST_SPAN);
+        let (lost, crowded) = (lately(self.lost.get(&at.kind)), lately(self.crowded.get(&at.kind)));
+        let rare = pause > self.settings.keeps_alive.as_secs() * KEPT_PART;
+        if idle && (crowded || lost && rare) {
             self.actions.push(Action::CloseIdle { endpoint: id });
         }
     }
@@ -958,7 +960,7 @@
     }
 
     /// What a sender allows itself of a rate before it has met its limit. Where refused calls cost, many that
-    /// start far above their parts would use the limit up for all until each has been turned away often enough.
+    /// start far above their parts would use it up for all until each has been turned away often enough.
     fn first_pace(&self, id: LaneId, rate: f64) -> f64 {
         let first = if self.settings.turned_away_price > 0.0 { 0.0 } else { FIRST_PART };
         self.part(id).min(rate).max(rate * (2.0 / (self.settings.senders as f64 + 1.0)).max(first))
@@ -1104,8 +1106,8 @@
         if chosen.is_empty() {
             return false;
         }
-        // A receiver knows a call by its first text and by the one time told for all: these have to agree, or an
-        // answer that comes between the two ends texts here that are not over there.
+        // A receiver knows a call by its first text and by the one time told for all: these have to agree, or
+        // an answer that comes between the two ends texts here that are not over there.
         chosen.sort_by_key(|id| Reverse(self.texts[id].valid_until));
         let (call, mut cut_short) = (self.next_call, false);
         self.next_call += 1;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -42,6 +42,7 @@
         must_ask_in: Span::millis(10_000),
         may_revoke: true,
         turned_away_price: 0.0,
+        tells_limits: false,
         longest_advice: Some(Span::millis(2000)),
         tick: Span::millis(5),
         keeps_alive: Span::millis(10_000),
@@ -910,6 +911,35 @@
     }
 }
 
+/// Guards against senders that all keep a connection at rest and so keep one another out. A receiver that is only out of
+/// its limit says so.
+#[test]
+fn connections_are_shut_where_a_crowd_of_them_keeps_others_out() {
+    // whether answers tell of limits here, whether this one does, the wait it tells, whether connections are left open
+    for (tells, told, wait, kept) in [
+        (true, false, None, false),
+        (true, true, None, true),
+        (true, false, Some(300), true),
+        (false, false, None, true),
+    ] {
+        let mut bench = Bench::new(Settings { tells_limits: tells, ..settings() }, 0);
+        for n in 0..5 {
+            let out = submits(&bench.take(1, 0, 1));
+            bench.now += 100.0;
+            bench.closed = 0;
+            bench.told = (tells && (n < 4 || told)).then_some(50.0);
+            let (verdict, wait) = if n == 4 { (Verdict::Full, wait) } else { (Verdict::Delivered, None) };
+            bench.answer(n, out[0].1, verdict, wait);
+            bench.pass(1_000.0);
+        }
+        // The next one that comes to rest.
+        let (text, endpoint) = (4, EndpointId(2));
+        bench.told = tells.then_some(50.0);
+        bench.answer(text, endpoint, Verdict::Delivered, None);
+        assert_eq!(bench.closed == 0, kept, "{tells} {told} {wait:?}");
+    }
+}
+
 #[test]
 fn one_of_many_senders_starts_with_more_than_an_equal_part() {
     for senders in [1, 3, 30, 300] {
