A test of another customer's settings on the same folder

Two lives on one folder, names that mean something else, other kinds, zones, slots, attempts, advice: untried texts go under their own terms, a doubt of a once-only one is not sent again, new ones have the new terms.

--- a/crates/sender/tests/sender/crossings.rs
+++ b/crates/sender/tests/sender/crossings.rs
@@ -275,3 +275,66 @@
     visit.status(200);
     daemon.counts("delivered", 2);
 }
+
+/// The folder of one customer is started with the settings of another, who means something else by the same names: what
+/// was taken on keeps its own terms, what comes now has the new ones, and no default of the first is left.
+#[test]
+fn settings_of_another_customer_bind_what_comes_and_nothing_that_was_taken_on() {
+    let (discovery, endpoint, mut config, folder) = world();
+    let product = |name: &str, repeat: &str| {
+        json!({"name": name, "objective-ms": 1500.0, "deadline-ms": 9000.0, "repeat": repeat, "group": "all",
+            "window-ms": 12000.0, "worth": 1.0, "in-order": false})
+    };
+    config["settings"]["categories"] =
+        json!([product("receipt", "non_idempotent"), product("status", "read_like")]);
+    config["settings"]["family-info"]["call-slots"] = json!(1);
+    let mut daemon = Daemon::start(&config, &folder);
+    assert_eq!(daemon.hand_in("receipt", "doubt", 1), 202);
+    let out = endpoint.next();
+    assert_eq!(out.header("x-request-id"), "doubt");
+    assert_eq!([daemon.hand_in("receipt", "once", 0), daemon.hand_in("status", "status", 0)], [202, 202]);
+    daemon.kill();
+    drop(out);
+    let settings = &mut config["settings"];
+    settings["categories"] = json!([product("order", "non_idempotent"), product("receipt", "read_like")]);
+    settings["kinds"] = json!(["x", "k"]);
+    settings["localities"] = json!(["z", "a"]);
+    settings["family-info"] = json!({"call-slots": 8, "kind-batch": [7, 1], "routes-apart": [true, false], "report-x0": "share left"});
+    settings["membership-mode"] = json!("automatic");
+    settings["ceilings"]["max-attempts"] = json!(2);
+    settings["ceilings"]["retry-after"] = json!(false);
+    let daemon = Daemon::start(&config, &folder);
+    let mut calls: Vec<(String, Visit)> = Vec::new();
+    for _ in 0..2 {
+        let visit = endpoint.next();
+        calls.push((visit.header("x-request-id").to_owned(), visit));
+    }
+    calls.sort_by(|one, other| one.0.cmp(&other.0));
+    assert_eq!(
+        [&*calls[0].0, &*calls[1].0],
+        ["once", "status"],
+        "what was untried is tried, the doubt is not"
+    );
+    // An error may have run: the one is over by the terms of its day, the other goes again by its own.
+    for (_, visit) in calls.drain(..) {
+        visit.status(500);
+    }
+    let mut ended = String::new();
+    while !(ended.contains("doubt") && ended.contains("once")) {
+        ended += &body_of(&discovery, |visit| visit.answer("HTTP/1.1 204 X\r\n\r\n"));
+    }
+    assert_eq!(ended.matches("undeliverable").count(), 2, "{ended}");
+    let again = endpoint.next();
+    assert_eq!(again.header("x-request-id"), "status");
+    again.status(200);
+    assert_eq!(daemon.hand_in("status", "new", 0), 404, "a name that is no more");
+    assert_eq!(daemon.hand_in("receipt", "r", 0), 202);
+    for status in [500, 500] {
+        let visit = endpoint.next();
+        assert_eq!(visit.header("x-request-id"), "r", "resendable now, and twice at the most");
+        visit.status(status);
+    }
+    let ended = body_of(&discovery, |visit| visit.answer("HTTP/1.1 204 X\r\n\r\n"));
+    assert_eq!(ended, "{\"id\":\"r\",\"status\":\"deferred\"}\n", "no advice where it is not allowed");
+    assert!(endpoint.is_quiet());
+}
