--- a/crates/admission/src/budget.rs
+++ b/crates/admission/src/budget.rs
@@ -1,7 +1,7 @@
 //! Descriptors as one budget, dealt out by tokens that give themselves back.
 //!
 //! Each purpose has a share that nobody else can take and may use more while the rest is not needed. So retries
-//! towards gateways can't starve the door, nor the door the retries, and neither the log.
+//! towards gateways can't starve the accept queue, nor that the retries, and neither the log.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -9,8 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Purpose {
     Client,
-    /// Connections that wait at the door for a place.
-    Door,
+    /// Connections that wait in the accept queue for a place.
+    Accept,
     Gateway,
     /// The log, the list, the notices and the standard streams.
     House,
@@ -22,7 +22,7 @@
     fn index(self) -> usize {
         match self {
             Purpose::Client => 0,
-            Purpose::Door => 1,
+            Purpose::Accept => 1,
             Purpose::Gateway => 2,
             Purpose::House => 3,
         }
@@ -39,7 +39,7 @@
 impl Shares {
     pub fn new(of: impl Fn(Purpose) -> (usize, usize)) -> Shares {
         let mut shares = Shares { least: [0; PURPOSES], most: [0; PURPOSES] };
-        for purpose in [Purpose::Client, Purpose::Door, Purpose::Gateway, Purpose::House] {
+        for purpose in [Purpose::Client, Purpose::Accept, Purpose::Gateway, Purpose::House] {
             (shares.least[purpose.index()], shares.most[purpose.index()]) = of(purpose);
         }
         shares
--- a/crates/admission/src/connections.rs
+++ b/crates/admission/src/connections.rs
@@ -1,4 +1,4 @@
-//! Places for clients' connections: who gets one, who makes room for whom, and who is turned away at the door.
+//! Places for clients' connections: who gets one, who makes room for whom, and who is turned away on arrival.
 
 use crate::addresses::{Addresses, Network, Prefixes, plain};
 use indigomast::time::{Moment, Span};
@@ -262,7 +262,7 @@
 
     fn comes(&mut self, now: Moment, number: Number, address: IpAddr, worth: Worth) -> Answer {
         let known = self.is_known(now, address);
-        // A connection that was at the door has been counted already.
+        // A connection that was in the accept queue has been counted already.
         if worth == Worth::Unknown && !self.keeps_pace(now, address) {
             return Answer::TurnedAway(Reason::Pace);
         }
--- a/crates/admission/src/strain.rs
+++ b/crates/admission/src/overload.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 #[derive(Clone, Copy, Debug)]
-pub struct StrainSettings {
+pub struct OverloadSettings {
     /// Lateness under this is ordinary.
     pub ordinary: Span,
     /// For so long after a spell of standing still another one is to be expected.
@@ -20,9 +20,9 @@
     pub come_back: (Span, Span),
 }
 
-impl Default for StrainSettings {
-    fn default() -> StrainSettings {
-        StrainSettings {
+impl Default for OverloadSettings {
+    fn default() -> OverloadSettings {
+        OverloadSettings {
             ordinary: Span::millis(150),
             memory: Span::millis(10_000),
             margin: Span::millis(200),
@@ -34,15 +34,15 @@
 
 /// The sender's own lateness, and what follows from it for new texts.
 #[derive(Clone, Debug)]
-pub struct Strain {
-    settings: StrainSettings,
+pub struct OverloadDetector {
+    settings: OverloadSettings,
     /// Spells of standing still, longest first; a later and longer one makes an earlier one forgotten.
     spells: VecDeque<(Moment, Span)>,
 }
 
-impl Strain {
-    pub fn new(settings: StrainSettings) -> Strain {
-        Strain { settings, spells: VecDeque::new() }
+impl OverloadDetector {
+    pub fn new(settings: OverloadSettings) -> OverloadDetector {
+        OverloadDetector { settings, spells: VecDeque::new() }
     }
 
     /// A beat came so much later than it should have; whether that was a spell of standing still.
--- a/crates/admission/tests/budget.rs
+++ b/crates/admission/tests/budget.rs
@@ -4,12 +4,12 @@
 use proptest::prelude::*;
 use std::thread;
 
-const ALL: [Purpose; 4] = [Purpose::Client, Purpose::Door, Purpose::Gateway, Purpose::House];
+const ALL: [Purpose; 4] = [Purpose::Client, Purpose::Accept, Purpose::Gateway, Purpose::House];
 
 fn shares() -> Shares {
     Shares::new(|purpose| match purpose {
         Purpose::Client => (8, 20),
-        Purpose::Door => (2, 4),
+        Purpose::Accept => (2, 4),
         Purpose::Gateway => (6, 14),
         Purpose::House => (4, 4),
     })
@@ -32,18 +32,19 @@
 #[test]
 fn a_token_moves_only_where_there_is_room_and_never_doubles() {
     let budget = Budget::new(30, shares());
-    let mut door: Vec<Token> = (0..4).filter_map(|_| budget.take(Purpose::Door)).collect();
-    assert_eq!(door.len(), 4);
-    let token = door.pop().expect("four").pass_on(Purpose::Client).expect("there is room");
-    assert_eq!((budget.used(Purpose::Door), budget.used(Purpose::Client)), (3, 1));
+    let mut accepting: Vec<Token> = (0..4).filter_map(|_| budget.take(Purpose::Accept)).collect();
+    assert_eq!(accepting.len(), 4);
+    let token = accepting.pop().expect("four").pass_on(Purpose::Client).expect("there is room");
+    assert_eq!((budget.used(Purpose::Accept), budget.used(Purpose::Client)), (3, 1));
     drop(token);
     let _clients: Vec<Token> = std::iter::from_fn(|| budget.take(Purpose::Client)).collect();
-    // One above the door's own share may go over to the clients, and the next would break a promise.
-    let _one = door.pop().expect("three").pass_on(Purpose::Client).expect("the door has more than its share");
-    let back = door.pop().expect("two").pass_on(Purpose::Client).expect_err("no room");
-    assert_eq!(back.purpose(), Purpose::Door);
+    // One above the queue's own share may go over to the clients, and the next would break a promise.
+    let _one =
+        accepting.pop().expect("three").pass_on(Purpose::Client).expect("the queue has more than its share");
+    let back = accepting.pop().expect("two").pass_on(Purpose::Client).expect_err("no room");
+    assert_eq!(back.purpose(), Purpose::Accept);
     drop(back);
-    assert_eq!(budget.used(Purpose::Door), 1);
+    assert_eq!(budget.used(Purpose::Accept), 1);
 }
 
 #[test]
--- a/crates/admission/tests/connections.rs
+++ b/crates/admission/tests/connections.rs
@@ -101,7 +101,7 @@
     }
     let (_, answer) = crowd.comes(1.0, 5, Worth::Unknown);
     assert_eq!(answer, Answer::TurnedAway(Reason::Reserved));
-    // At the door its text is seen, and one that said nothing so far goes.
+    // In the accept queue its text is seen, and one that said nothing so far goes.
     let (number, answer) = crowd.comes(2.0, 5, Worth::Text);
     assert_eq!(answer, Answer::Seated { instead_of: Some(Number(1)) });
     crowd.tell(3.0, Event::Enters { number, state: State::Answered });
--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -443,7 +443,7 @@
     let fleet = Fleet::new("bad", 3);
     let traffic = Traffic::begin(&fleet, 3, Duration::from_millis(4));
     let bad = fleet.folder.join("bad.json");
-    // With room for one text at a time many are nacked at the door.
+    // With room for one text at a time many are nacked on arrival.
     fs::write(&bad, settings(fleet.endpoint.address, fleet.platform, 1).to_string()).expect("written");
     let plan = fleet.plan(&format!("settings = \"{}\"", bad.display()), QUICK);
     let output = fleet.begin(&plan, "record").wait_with_output().expect("it ends");
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -12,7 +12,7 @@
 //! let asked = Seen { asked: true, out: true, heard: false };
 //! let start = Moment::from_millis(0.0);
 //! assert_eq!(old.step(start, asked), Some(Step::Hold));
-//! assert_eq!(old.step(start, Seen { out: false, ..asked }), Some(Step::ShutDoor));
+//! assert_eq!(old.step(start, Seen { out: false, ..asked }), Some(Step::StopAccepting));
 //! assert_eq!(old.step(start, Seen { out: false, heard: true, ..asked }), Some(Step::Leave));
 //! ```
 
@@ -51,7 +51,7 @@
     /// Nothing new goes out. Texts are still taken on, on connections that end with their answer.
     Hold,
     /// Nobody new is let in; connections at rest end.
-    ShutDoor,
+    StopAccepting,
     /// Writes what it has learnt and ends. There is no way back from here.
     Leave,
     /// Serves as before.
@@ -88,7 +88,7 @@
             (Stage::Serving, true) => (Stage::Quiet(now), Some(Step::Hold)),
             (Stage::Quiet(_) | Stage::Closing(_), false) => (Stage::Serving, Some(Step::Resume)),
             (Stage::Quiet(since), true) if !seen.out || now.since(since) >= quiet => {
-                (Stage::Closing(now), Some(Step::ShutDoor))
+                (Stage::Closing(now), Some(Step::StopAccepting))
             }
             (Stage::Closing(since), true) if seen.heard || now.since(since) >= closing => {
                 (Stage::Left, Some(Step::Leave))
--- a/crates/handover/tests/walk.rs
+++ b/crates/handover/tests/walk.rs
@@ -13,10 +13,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Side {
     Dead,
-    /// Owns: whether it submits, whether its door is open, its machine, and calls that are out.
+    /// Owns: whether it submits, whether its accepts is open, its machine, and calls that are out.
     Owner {
         submits: bool,
-        door: bool,
+        accepts: bool,
         machine: Incumbent,
         out: bool,
     },
@@ -34,7 +34,7 @@
     lock: Option<usize>,
     next: Option<usize>,
     /// Somebody left in order, and what it learnt lies there for whoever comes.
-    estate: bool,
+    state_written: bool,
     starts: u8,
     deaths: u8,
     no_room: bool,
@@ -53,13 +53,14 @@
 
 impl World {
     fn start() -> World {
-        let owner = Side::Owner { submits: true, door: true, machine: Incumbent::new(settings()), out: true };
+        let owner =
+            Side::Owner { submits: true, accepts: true, machine: Incumbent::new(settings()), out: true };
         World {
             tick: 0,
             sides: [owner, Side::Dead],
             lock: Some(0),
             next: None,
-            estate: false,
+            state_written: false,
             starts: 0,
             deaths: 0,
             no_room: false,
@@ -94,9 +95,9 @@
                 match machine.step(now, owns) {
                     Some(Move::Own) => {
                         self.next = self.next.filter(|holder| *holder != at);
-                        self.estate = false;
+                        self.state_written = false;
                         let machine = Incumbent::new(settings());
-                        self.sides[at] = Side::Owner { submits: true, door: true, machine, out: false };
+                        self.sides[at] = Side::Owner { submits: true, accepts: true, machine, out: false };
                         return;
                     }
                     Some(Move::StandBy) => says_ready = true,
@@ -104,25 +105,25 @@
                 }
                 self.sides[at] = Side::Waits { machine, says_ready };
             }
-            Side::Owner { mut submits, mut door, mut machine, mut out } => {
+            Side::Owner { mut submits, mut accepts, mut machine, mut out } => {
                 let asked = self.next.is_some_and(|holder| holder != at);
-                let mut step = machine.step(now, Seen { asked, out, heard: !door });
+                let mut step = machine.step(now, Seen { asked, out, heard: !accepts });
                 if step == Some(Step::Leave) {
-                    assert!(!submits && !door, "left while it served");
+                    assert!(!submits && !accepts, "left while it served");
                     if !self.no_room {
-                        self.estate = true;
+                        self.state_written = true;
                         return self.dies(at);
                     }
                     step = Some(machine.cant_leave());
                 }
                 match step {
                     Some(Step::Hold) => submits = false,
-                    Some(Step::ShutDoor) => door = false,
-                    Some(Step::Resume) => (submits, door) = (true, true),
+                    Some(Step::StopAccepting) => accepts = false,
+                    Some(Step::Resume) => (submits, accepts) = (true, true),
                     Some(Step::Leave) | None => {}
                 }
                 out |= submits;
-                self.sides[at] = Side::Owner { submits, door, machine, out };
+                self.sides[at] = Side::Owner { submits, accepts, machine, out };
             }
         }
     }
@@ -190,7 +191,7 @@
     if end.sides.iter().all(|side| *side == Side::Dead) {
         return assert!(world.sides.iter().all(|side| *side == Side::Dead), "the last one left: {world:?}");
     }
-    let serves = |side: &Side| matches!(side, Side::Owner { submits: true, door: true, .. });
+    let serves = |side: &Side| matches!(side, Side::Owner { submits: true, accepts: true, .. });
     assert!(end.sides.iter().any(serves), "{world:?} comes to {end:?}");
     // Who waits for one that can't leave has said so, and the operators end the other.
     for side in &end.sides {
--- a/crates/keep/src/steering.rs
+++ b/crates/keep/src/steering.rs
@@ -149,8 +149,8 @@
     let (commands, orders) = unbounded();
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("a port for commands: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("a port for commands: {e}"))?;
-    let door = settings.record.join(ADDRESS);
-    fs::write(&door, address.to_string()).map_err(complain)?;
+    let address_file = settings.record.join(ADDRESS);
+    fs::write(&address_file, address.to_string()).map_err(complain)?;
     let own = secret.clone();
     thread::spawn(move || hear(&listener, &own, &commands));
     let history = fs::File::options().create(true).append(true).open(settings.record.join(HISTORY));
@@ -168,7 +168,7 @@
         began,
     };
     let done = run.work(settings, &inputs, &orders, say);
-    _ = fs::remove_file(&door);
+    _ = fs::remove_file(&address_file);
     done
 }
 
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -9,13 +9,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The true state of the gateways, of which only the clairvoyant policy makes use.
-pub trait Sight {
+pub trait Snapshot {
     /// Calls that an endpoint would start at once.
     fn room(&self, endpoint: EndpointId) -> usize;
 }
 
 pub trait Policy {
-    fn step(&mut self, now: Moment, events: Vec<Event>, sight: &dyn Sight) -> Vec<Action>;
+    fn step(&mut self, now: Moment, events: Vec<Event>, snapshot: &dyn Snapshot) -> Vec<Action>;
 
     /// The windows of the destinations that have one.
     fn windows(&self) -> Vec<(DestId, usize)> {
@@ -24,7 +24,7 @@
 }
 
 impl Policy for Rules {
-    fn step(&mut self, now: Moment, events: Vec<Event>, _: &dyn Sight) -> Vec<Action> {
+    fn step(&mut self, now: Moment, events: Vec<Event>, _: &dyn Snapshot) -> Vec<Action> {
         Rules::step(self, now, events)
     }
 
@@ -267,7 +267,7 @@
         self.dests.entry(dest_id).or_default().queue.insert((at, id));
     }
 
-    fn dispatch(&mut self, sight: &dyn Sight) {
+    fn dispatch(&mut self, snapshot: &dyn Snapshot) {
         let ids: Vec<DestId> =
             self.dests.iter().filter(|(_, dest)| !dest.queue.is_empty()).map(|(id, _)| *id).collect();
         let window = (self.settings.slots / 4).max(1);
@@ -283,8 +283,9 @@
                     break;
                 }
                 let endpoint = if self.style == Name::Clairvoyant {
-                    let room =
-                        |id: &EndpointId| sight.room(*id).saturating_sub(sent.get(id).copied().unwrap_or(0));
+                    let room = |id: &EndpointId| {
+                        snapshot.room(*id).saturating_sub(sent.get(id).copied().unwrap_or(0))
+                    };
                     dest.endpoints.iter().copied().max_by_key(room).filter(|id| room(id) > 0)
                 } else {
                     Some(dest.endpoints[dest.turn % dest.endpoints.len()])
@@ -324,7 +325,7 @@
 }
 
 impl Policy for Baseline {
-    fn step(&mut self, now: Moment, events: Vec<Event>, sight: &dyn Sight) -> Vec<Action> {
+    fn step(&mut self, now: Moment, events: Vec<Event>, snapshot: &dyn Snapshot) -> Vec<Action> {
         self.now = now;
         for event in events {
             match event {
@@ -347,7 +348,7 @@
                 self.give_up(id);
             }
         }
-        self.dispatch(sight);
+        self.dispatch(snapshot);
         if self.woken <= now {
             self.woken = now + BEAT;
             self.actions.push(Action::WakeAt(self.woken));
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -5,7 +5,7 @@
 
 use crate::outcome::Outcome as Result;
 use crate::platform;
-use crate::policy::{Name, Policy, Sight};
+use crate::policy::{Name, Policy, Snapshot};
 use crate::scenario::Scenario;
 use crate::world::{Admitted, Do, HandIn, Member, Noticed, Seen, World};
 use indigomast::api::*;
@@ -136,7 +136,7 @@
 
 struct Eyes<'a>(&'a Gateways, Moment);
 
-impl Sight for Eyes<'_> {
+impl Snapshot for Eyes<'_> {
     fn room(&self, endpoint: EndpointId) -> usize {
         self.0.room(endpoint, self.1)
     }
--- a/crates/lab/src/sockets/burden.rs
+++ b/crates/lab/src/sockets/burden.rs
@@ -1,4 +1,4 @@
-//! What weighs on the senders themselves: spells of standing still, a share of a core, and strangers at their doors.
+//! What weighs on the senders themselves: spells of standing still, a share of a core, and strangers at their listeners.
 //!
 //! A process over its share is stopped and resumed, as a watch over processes without privileges does it. Each resume
 //! wakes all its threads, so this weighs on a sender with many of them in a way that a scheduler's own limit does not.
@@ -275,40 +275,44 @@
 }
 
 /// One of a burst, in the order of what becomes of it.
-enum Comer {
+enum PendingConnection {
     Connecting(OwnedFd),
     Asked(OwnedFd),
     Over,
 }
 
-impl Comer {
+impl PendingConnection {
     /// Comes without waiting to be connected: all of a burst are to lie in one backlog.
-    fn open(to: SocketAddr) -> Option<Comer> {
+    fn open(to: SocketAddr) -> Option<PendingConnection> {
         let socket =
             net::socket_with(AddressFamily::INET, SocketType::STREAM, SocketFlags::NONBLOCK, None).ok()?;
         match net::connect(&socket, &to) {
-            Ok(()) | Err(Errno::INPROGRESS) => Some(Comer::Connecting(socket)),
+            Ok(()) | Err(Errno::INPROGRESS) => Some(PendingConnection::Connecting(socket)),
             Err(_) => None,
         }
     }
 
     /// What it sees now, `at` milliseconds after the burst.
     fn look(&mut self, at: f64, seen: &mut BurstSeen) {
-        if let Comer::Connecting(socket) = self {
+        if let PendingConnection::Connecting(socket) = self {
             match net::send(&*socket, ASK, SendFlags::NOSIGNAL) {
                 Ok(_) => {
                     seen.connected += 1;
-                    let Comer::Connecting(socket) = std::mem::replace(self, Comer::Over) else { return };
-                    *self = Comer::Asked(socket);
+                    let PendingConnection::Connecting(socket) =
+                        std::mem::replace(self, PendingConnection::Over)
+                    else {
+                        return;
+                    };
+                    *self = PendingConnection::Asked(socket);
                 }
                 Err(Errno::AGAIN | Errno::NOTCONN | Errno::INPROGRESS | Errno::ALREADY) => {}
                 Err(_) => {
                     seen.ended += 1;
-                    *self = Comer::Over;
+                    *self = PendingConnection::Over;
                 }
             }
         }
-        if let Comer::Asked(socket) = self {
+        if let PendingConnection::Asked(socket) = self {
             match net::recv(&*socket, &mut [0u8; 512], RecvFlags::DONTWAIT) {
                 Err(Errno::AGAIN) => return,
                 Ok((_, count)) if count > 0 => {
@@ -317,7 +321,7 @@
                 }
                 _ => seen.ended += 1,
             }
-            *self = Comer::Over;
+            *self = PendingConnection::Over;
         }
     }
 }
@@ -329,7 +333,7 @@
     over: &AtomicBool,
 ) -> StrangersSeen {
     let mut seen = BurstSeen::default();
-    let mut comers: Vec<(Instant, Comer)> = Vec::new();
+    let mut arriving: Vec<(Instant, PendingConnection)> = Vec::new();
     let mut done = vec![false; bursts.len()];
     while !over.load(Ordering::Relaxed) {
         thread::sleep(BEAT);
@@ -339,11 +343,12 @@
             *done = true;
             let Some(to) = *address.lock().unwrap_or_else(PoisonError::into_inner) else { continue };
             let since = Instant::now();
-            comers.extend((0..burst.connections).filter_map(|_| Some((since, Comer::open(to)?))));
+            arriving
+                .extend((0..burst.connections).filter_map(|_| Some((since, PendingConnection::open(to)?))));
             seen.opened += burst.connections as u64;
         }
-        comers.iter_mut().for_each(|(since, comer)| comer.look(millis(since.elapsed()), &mut seen));
-        comers.retain(|(_, comer)| !matches!(comer, Comer::Over));
+        arriving.iter_mut().for_each(|(since, pending)| pending.look(millis(since.elapsed()), &mut seen));
+        arriving.retain(|(_, pending)| !matches!(pending, PendingConnection::Over));
     }
     StrangersSeen { burst: seen, ..StrangersSeen::default() }
 }
--- a/crates/lab/src/sockets/keeper.rs
+++ b/crates/lab/src/sockets/keeper.rs
@@ -20,7 +20,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// A daemon that has not answered on its door by then can't be used.
+/// A daemon that has not answered on its listener by then can't be used.
 const START_TIME: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(5);
 
--- a/crates/lab/src/sockets/doors.rs
+++ b/crates/lab/src/sockets/listeners.rs
@@ -27,7 +27,7 @@
 /// Numbers of texts that come from outside begin here.
 const FOREIGN: u64 = 1 << 62;
 
-struct Door {
+struct Listener {
     address: SocketAddr,
     open: Option<Arc<AtomicBool>>,
 }
@@ -79,8 +79,8 @@
     }
 }
 
-pub struct Doors {
-    doors: BTreeMap<EndpointId, Door>,
+pub struct Listeners {
+    listeners: BTreeMap<EndpointId, Listener>,
     shared: Arc<Shared>,
     mailbox: Mailbox,
     by_call: BTreeMap<CallId, LinkId>,
@@ -126,34 +126,34 @@
     }
 }
 
-impl Doors {
+impl Listeners {
     pub fn open(
         endpoints: impl Iterator<Item = EndpointId>,
         network: Option<Arc<Network>>,
         mailbox: &Mailbox,
-    ) -> Result<Doors, String> {
-        let mut doors = Doors {
-            doors: BTreeMap::new(),
+    ) -> Result<Listeners, String> {
+        let mut listeners = Listeners {
+            listeners: BTreeMap::new(),
             shared: Arc::new(Shared { network, ..Shared::default() }),
             mailbox: mailbox.clone(),
             by_call: BTreeMap::new(),
         };
         for endpoint in endpoints {
-            doors.add(endpoint)?;
+            listeners.add(endpoint)?;
         }
-        Ok(doors)
+        Ok(listeners)
     }
 
     fn add(&mut self, endpoint: EndpointId) -> Result<(), String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| format!("a gateway's port: {e}"))?;
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         let open = self.accept(endpoint, listener).map_err(|e| format!("a gateway's thread: {e}"))?;
-        self.doors.insert(endpoint, Door { address, open: Some(open) });
+        self.listeners.insert(endpoint, Listener { address, open: Some(open) });
         Ok(())
     }
 
     pub fn addresses(&self) -> BTreeMap<EndpointId, SocketAddr> {
-        self.doors.iter().map(|(endpoint, door)| (*endpoint, door.address)).collect()
+        self.listeners.iter().map(|(endpoint, listener)| (*endpoint, listener.address)).collect()
     }
 
     fn accept(&self, endpoint: EndpointId, listener: TcpListener) -> std::io::Result<Arc<AtomicBool>> {
@@ -193,13 +193,13 @@
 
     /// An error tells that the endpoint can't listen where it has to; the run then says nothing.
     pub fn listens(&mut self, endpoint: EndpointId, on: bool) -> Result<(), String> {
-        let Some(door) = self.doors.get_mut(&endpoint) else {
+        let Some(listener) = self.listeners.get_mut(&endpoint) else {
             return if on { self.add(endpoint) } else { Ok(()) };
         };
-        match (on, door.open.take()) {
+        match (on, listener.open.take()) {
             (true, None) => {
                 // Its port was its own until now; a moment may pass until the kernel gives it back.
-                let address = door.address;
+                let address = listener.address;
                 let bound = (0..50).find_map(|_| {
                     let bound = TcpListener::bind(address);
                     if bound.is_err() {
@@ -209,7 +209,7 @@
                 });
                 match bound.map(|listener| self.accept(endpoint, listener)) {
                     Some(Ok(open)) => {
-                        self.doors.entry(endpoint).and_modify(|door| door.open = Some(open));
+                        self.listeners.entry(endpoint).and_modify(|listener| listener.open = Some(open));
                     }
                     _ => return Err(format!("endpoint {} can't listen at {address} again", endpoint.0)),
                 }
@@ -217,9 +217,9 @@
             (false, Some(open)) => {
                 open.store(false, Ordering::Release);
                 // Wakes the thread that accepts, which then closes the listener.
-                _ = TcpStream::connect(door.address);
+                _ = TcpStream::connect(listener.address);
             }
-            (_, as_it_was) => door.open = as_it_was,
+            (_, as_it_was) => listener.open = as_it_was,
         }
         Ok(())
     }
@@ -227,13 +227,13 @@
     /// A new endpoint listens at the address of one that has gone, whose listener is closed by then.
     pub fn takes_over(&mut self, endpoint: EndpointId, from: EndpointId) -> Result<(), String> {
         self.listens(from, false)?;
-        let address = self.doors.get(&from).ok_or("nobody listened there")?.address;
-        self.doors.insert(endpoint, Door { address, open: None });
+        let address = self.listeners.get(&from).ok_or("nobody listened there")?.address;
+        self.listeners.insert(endpoint, Listener { address, open: None });
         self.listens(endpoint, true)
     }
 
     pub fn close(mut self) {
-        let all: Vec<EndpointId> = self.doors.keys().copied().collect();
+        let all: Vec<EndpointId> = self.listeners.keys().copied().collect();
         all.into_iter().for_each(|endpoint| _ = self.listens(endpoint, false));
         for link in self.shared.links().values() {
             _ = link.stream.shutdown(Shutdown::Both);
@@ -283,7 +283,7 @@
     }
 
     pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
-        self.doors.get(&endpoint).map(|door| door.address)
+        self.listeners.get(&endpoint).map(|listener| listener.address)
     }
 
     pub fn is_refused(&self, link: LinkId) -> bool {
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -1,15 +1,15 @@
 //! The stage on sockets: real daemons on loopback addresses, in real time.
 //!
 //! One actor owns the [`World`](crate::world::World); all other threads tell it what they see and do what it says.
-//! [`doors`] are the gateways' listeners, [`discovery`] is the list and takes the notices, [`clients`] hand texts in,
+//! [`listeners`] are the gateways' listeners, [`discovery`] is the list and takes the notices, [`clients`] hand texts in,
 //! a [`keeper`] starts, stops and kills each daemon, and [`burden`] is what weighs on them. The stage measures its own lateness: where it was late the
 //! run says nothing of the sender.
 
 pub mod burden;
 pub mod clients;
 pub mod discovery;
-pub mod doors;
 pub mod keeper;
+pub mod listeners;
 
 use crate::outcome::{Lateness, Outcome, Percentiles};
 use crate::processes::RECOVERY;
@@ -23,11 +23,11 @@
 use clients::Clients;
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use discovery::Discovery;
-use doors::Doors;
 use hdrhistogram::Histogram;
 use indigomast::api::EndpointId;
 use indigomast::time::{Moment, Span};
 use keeper::{Command, Keeper};
+use listeners::Listeners;
 use rustix::process::{Resource, Signal};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -131,7 +131,7 @@
 /// The pieces around the world that carry out what it says.
 struct Stage {
     world: World,
-    doors: Doors,
+    listeners: Listeners,
     discovery: Discovery,
     clients: Clients,
     keepers: Vec<Keeper>,
@@ -207,10 +207,10 @@
         });
         let world = if network.is_some() { world.over_lines() } else { world };
         let endpoints = world.listing().1.into_iter().map(|member| member.endpoint);
-        let doors = Doors::open(endpoints, network.clone(), &mailbox)?;
+        let listeners = Listeners::open(endpoints, network.clone(), &mailbox)?;
         let kinds = scenario.kinds.iter().map(|kind| kind.get_ref().name.clone()).collect();
         let discovery =
-            Discovery::open(senders, kinds, &world, doors.addresses(), network.clone(), &mailbox)?;
+            Discovery::open(senders, kinds, &world, listeners.addresses(), network.clone(), &mailbox)?;
         let keeper =
             |sender| Keeper::new(scenario, sender, seed, options, &discovery, network.clone(), &mailbox);
         let keepers = (0..senders).map(keeper).collect::<Result<Vec<_>, _>>()?;
@@ -226,7 +226,7 @@
         let (paused, on_the_way) = (BTreeMap::new(), BTreeMap::new());
         let stage = Stage {
             world,
-            doors,
+            listeners,
             discovery,
             clients,
             keepers,
@@ -264,10 +264,10 @@
             stage.keepers.iter().map(|keeper| keeper.revision().unwrap_or_else(|| "silent".into()));
         steered.close(revisions.collect())
     });
-    let Stage { world, keepers, doors, lateness, crashes, network, faults, .. } = stage;
+    let Stage { world, keepers, listeners, lateness, crashes, network, faults, .. } = stage;
     drop(keepers);
     drop(network);
-    doors.close();
+    listeners.close();
     if options.stop.load(Ordering::Relaxed) {
         return Err("ended before its time".into());
     }
@@ -300,7 +300,7 @@
     stage.keepers.clear();
     stage.epoch = Instant::now();
     stage.play(&words, &options.stop, watch);
-    stage.doors.close();
+    stage.listeners.close();
     Ok(())
 }
 
@@ -383,7 +383,7 @@
                         Vec::new()
                     }
                 };
-                let link = self.doors.link_of(trail);
+                let link = self.listeners.link_of(trail);
                 seen.extend(link.map(|link| match witness {
                     Witness::Heard => Seen::Heard { link },
                     Witness::Left => Seen::Left { link },
@@ -395,7 +395,7 @@
             What::Seen(mut seen) => {
                 let mut all = Vec::new();
                 if let Seen::Link { link, .. } = &seen
-                    && self.doors.trail(*link).is_some_and(|trail| trail.is_left())
+                    && self.listeners.trail(*link).is_some_and(|trail| trail.is_left())
                 {
                     // The line told of that before the link was known.
                     let link = *link;
@@ -403,20 +403,20 @@
                     return self.carry(orders);
                 }
                 if let Seen::Call { link, left, .. } = &mut seen {
-                    let trail = self.doors.trail(*link);
+                    let trail = self.listeners.trail(*link);
                     *left = trail.map(|trail| self.now(trail.last_in()));
                 }
                 if let Seen::Call { call, link, .. } = &seen {
-                    if self.doors.is_refused(*link) {
-                        return self.doors.turn_away(*link);
+                    if self.listeners.is_refused(*link) {
+                        return self.listeners.turn_away(*link);
                     }
-                    self.doors.note_call(*call, *link);
+                    self.listeners.note_call(*call, *link);
                     // A sender that has ended a link may have sent this call since; the thread that reads there may
                     // not have told so yet, but the end has come.
-                    all.extend(self.doors.ended_links().into_iter().map(|link| Seen::Unlink { link }));
+                    all.extend(self.listeners.ended_links().into_iter().map(|link| Seen::Unlink { link }));
                 }
                 if let Seen::Unlink { link } = &seen {
-                    self.doors.forget(*link);
+                    self.listeners.forget(*link);
                 }
                 all.push(seen);
                 let orders = self.world.step(now, all);
@@ -426,7 +426,7 @@
     }
 
     fn line_listens(&self, endpoint: EndpointId, on: bool) {
-        if let Some((network, address)) = self.network.as_ref().zip(self.doors.address(endpoint)) {
+        if let Some((network, address)) = self.network.as_ref().zip(self.listeners.address(endpoint)) {
             network.listens(address, on);
         }
     }
@@ -481,16 +481,16 @@
             match order {
                 Do::HandIn(hand_in) => self.clients.hand_in(hand_in),
                 Do::LinkUp(_) => {}
-                Do::LinkRefused(link) => self.doors.refuse(link),
-                Do::LinkDropped(link) => self.doors.drop_link(link),
-                Do::Answer { call, reply, allowance } => self.doors.answer(call, &reply, allowance),
-                Do::List { .. } => self.discovery.publish(&self.world, self.doors.addresses()),
+                Do::LinkRefused(link) => self.listeners.refuse(link),
+                Do::LinkDropped(link) => self.listeners.drop_link(link),
+                Do::Answer { call, reply, allowance } => self.listeners.answer(call, &reply, allowance),
+                Do::List { .. } => self.discovery.publish(&self.world, self.listeners.addresses()),
                 Do::Listens { endpoint, on } => {
-                    self.crashes.extend(self.doors.listens(endpoint, on).err());
+                    self.crashes.extend(self.listeners.listens(endpoint, on).err());
                     self.line_listens(endpoint, on);
                 }
                 Do::TakesOver { endpoint, from } => {
-                    self.crashes.extend(self.doors.takes_over(endpoint, from).err());
+                    self.crashes.extend(self.listeners.takes_over(endpoint, from).err());
                     self.line_listens(endpoint, true);
                 }
                 Do::Stop { sender, kill } => {
--- a/crates/sender/src/door.rs
+++ b/crates/sender/src/accept_queue.rs
@@ -4,8 +4,8 @@
 //! no such place and costs no thread. A crowd that comes back whenever it is closed would else push itself out
 //! for ever, and that takes all of the processor.
 
-use crate::intake::{Comer, Intake, say_last};
-use crate::lobby::{Come, peek};
+use crate::intake::{Intake, PendingConnection, say_last};
+use crate::reactor::{Come, peek};
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use indigomast_admission::Worth;
 use std::collections::VecDeque;
@@ -33,47 +33,47 @@
     }
 }
 
-pub struct Door {
+pub struct AcceptQueue {
     pub intake: Arc<Intake>,
     /// Those that have said nothing yet, and those that were told to come again, each since when.
-    waiting: VecDeque<(Instant, Comer)>,
-    told: VecDeque<(Instant, Comer)>,
+    waiting: VecDeque<(Instant, PendingConnection)>,
+    told: VecDeque<(Instant, PendingConnection)>,
     looked: Instant,
 }
 
-impl Door {
-    pub fn new(intake: Arc<Intake>) -> Door {
-        Door { intake, waiting: VecDeque::new(), told: VecDeque::new(), looked: Instant::now() }
+impl AcceptQueue {
+    pub fn new(intake: Arc<Intake>) -> AcceptQueue {
+        AcceptQueue { intake, waiting: VecDeque::new(), told: VecDeque::new(), looked: Instant::now() }
     }
 
-    pub fn run(mut self, comers: &Receiver<Comer>) {
+    pub fn run(mut self, arriving: &Receiver<PendingConnection>) {
         loop {
             let idle = self.waiting.is_empty() && self.told.is_empty();
-            let comer = match idle {
-                true => comers.recv().map_err(|_| RecvTimeoutError::Disconnected),
-                false => comers.recv_timeout(self.intake.limits.door_beat),
+            let pending = match idle {
+                true => arriving.recv().map_err(|_| RecvTimeoutError::Disconnected),
+                false => arriving.recv_timeout(self.intake.limits.accept_queue_beat),
             };
-            match comer {
-                Ok(comer) => self.look((Instant::now(), comer)),
+            match pending {
+                Ok(pending) => self.look((Instant::now(), pending)),
                 Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {}
             }
             // Once a beat, not with each that comes: a storm would have all of them looked at for every one.
-            if self.looked.elapsed() >= self.intake.limits.door_beat {
+            if self.looked.elapsed() >= self.intake.limits.accept_queue_beat {
                 self.looked = Instant::now();
                 let waiting = std::mem::take(&mut self.waiting);
-                waiting.into_iter().for_each(|comer| self.look(comer));
+                waiting.into_iter().for_each(|pending| self.look(pending));
             }
             let limits = Arc::clone(&self.intake.limits);
             while self.told.front().is_some_and(|(since, _)| since.elapsed() >= limits.linger) {
-                let (_, comer) = self.told.pop_front().expect("looked at");
+                let (_, pending) = self.told.pop_front().expect("looked at");
                 // What is left unread would turn the end into a reset; of a client that never stops it does.
                 let mut rest = [0; 8192];
-                let mut read = || Come(&comer.stream).read(&mut rest).ok().filter(|count| *count > 0);
+                let mut read = || Come(&pending.stream).read(&mut rest).ok().filter(|count| *count > 0);
                 _ = (0..8).try_for_each(|_| read().map(drop));
             }
             // Those that were told have had some time; of those that say nothing the first came long ago.
-            while self.waiting.len() + self.told.len() + 2 > limits.door {
+            while self.waiting.len() + self.told.len() + 2 > limits.accept_queue {
                 if self.told.pop_front().is_none() && !self.looks_again() {
                     self.intake.counters.unheard.add(1);
                 }
@@ -84,29 +84,29 @@
     /// Looks at the one that goes first, of an address that holds all it may or else the one that waits longest, and
     /// ends it unless it says something after all: in a burst nobody is looked at again before there is no more room.
     fn looks_again(&mut self) -> bool {
-        let least = self.waiting.iter().position(|(_, comer)| comer.over).unwrap_or(0);
-        let Some(comer) = self.waiting.remove(least) else { return true };
+        let least = self.waiting.iter().position(|(_, pending)| pending.over).unwrap_or(0);
+        let Some(pending) = self.waiting.remove(least) else { return true };
         let left = self.waiting.len();
-        self.look(comer);
+        self.look(pending);
         let heard = self.waiting.len() == left;
         self.waiting.truncate(left);
         heard
     }
 
-    fn look(&mut self, (since, comer): (Instant, Comer)) {
+    fn look(&mut self, (since, pending): (Instant, PendingConnection)) {
         let limits = Arc::clone(&self.intake.limits);
-        let worth = match first(&comer.stream) {
+        let worth = match first(&pending.stream) {
             First::Nothing if since.elapsed() < limits.request_time => {
-                return self.waiting.push_back((since, comer));
+                return self.waiting.push_back((since, pending));
             }
             First::Nothing | First::Ended => return,
             First::Text => Worth::Text,
             First::Question => Worth::Question,
         };
-        let Some(comer) = self.intake.seat(comer, worth) else { return };
+        let Some(pending) = self.intake.seat(pending, worth) else { return };
         self.intake.counters.turned_away.add(1);
-        if say_last(&comer.stream, 503) {
-            self.told.push_back((Instant::now(), comer));
+        if say_last(&pending.stream, 503) {
+            self.told.push_back((Instant::now(), pending));
         }
     }
 }
--- a/crates/sender/src/control.rs
+++ b/crates/sender/src/control.rs
@@ -9,7 +9,7 @@
 use crate::figures::Figures;
 use crate::http::{self, Rejection};
 use crate::limits::Limits;
-use crate::lobby::Come;
+use crate::reactor::Come;
 use crate::ring::Ring;
 use crate::versions::{FORMATS, Floor, Format, VERSION};
 use crate::{Mailbox, log};
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -5,6 +5,7 @@
 use crate::control::{Order, Refusal};
 use crate::counters::Counters;
 use crate::figures::{Ends, Figures};
+use crate::handover::{HandoverState, Watch};
 use crate::ids::Ids;
 use crate::intake::Intake;
 use crate::limits::Limits;
@@ -12,7 +13,6 @@
 use crate::notices::Notice;
 use crate::peer::{self, Call, Part, Peer, Trunk};
 use crate::places::Places;
-use crate::succession::{Estate, Watch};
 use crate::terms::{self, Table};
 use crate::wal::{self, Kept, Report, TextInfo, Wal};
 use crate::{log, log_account, log_decision, threads};
@@ -20,7 +20,7 @@
 use indigomast::api::*;
 use indigomast::rules::Rules;
 use indigomast::time::{Moment, Span};
-use indigomast_admission::Strain;
+use indigomast_admission::OverloadDetector;
 use indigomast_handover::{Incumbent, Seen, Step};
 use indigomast_site::Names;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -135,13 +135,13 @@
     pub seed: u64,
     pub known: Listing,
     /// What the process before left, if it left in order.
-    pub estate: Option<Estate>,
+    pub handover_state: Option<HandoverState>,
     /// Where another process may take over.
-    pub succession: Option<Succession>,
+    pub handover: Option<Handover>,
 }
 
 /// What it takes to let another process take over.
-pub struct Succession {
+pub struct Handover {
     pub folder: PathBuf,
     pub watch: Watch,
     pub machine: Incumbent,
@@ -177,13 +177,13 @@
     notes: Vec<Notice>,
     events: Vec<Event>,
     wake: Option<Moment>,
-    strain: Strain,
+    overload: OverloadDetector,
     stopping: Option<Instant>,
     /// Orders in force as soon as they are written.
     orders: Vec<Order>,
     /// When the avoided endpoints were last counted.
     seen: Option<Instant>,
-    succession: Option<Succession>,
+    handover: Option<Handover>,
     /// Of the list in force; none where discovery may be another one since.
     revision: Option<u64>,
 }
@@ -205,7 +205,7 @@
 
 impl Keys {
     /// Those of the process before, under their indices.
-    fn heir(left: Vec<(String, usize)>, next: usize) -> Keys {
+    fn successor(left: Vec<(String, usize)>, next: usize) -> Keys {
         let idle_since = Instant::now();
         let idle = left.iter().map(|(key, _)| (idle_since, key.clone())).collect();
         let known = left.into_iter().map(|(key, id)| (key, Known { id: KeyId(id), texts: 0, idle_since }));
@@ -249,20 +249,21 @@
         let ends = self.table.rows().iter().map(|(_, terms)| self.figures.product(&terms.name)).collect();
         log_account!(settings:?; "begins");
         let texts_per_call = settings.kinds.iter().map(|kind| kind.texts_per_call).collect();
-        let strain = self.limits.strain;
+        let overload = self.limits.overload;
         let (seed, mut known, mut revision) = (self.seed, self.known.members, Some(self.known.revision));
-        let (rules, places, ids, dests, keys) = match self.estate {
-            Some(estate) => {
+        let (rules, places, ids, dests, keys) = match self.handover_state {
+            Some(handover_state) => {
                 let listed = |one: &&(EndpointId, Listed)| one.1.condition != Condition::Deleted;
-                known = estate.endpoints.iter().filter(listed).map(|(_, one)| one.clone()).collect();
-                revision = estate.revision;
-                let Estate { endpoints, next_endpoint, dests, keys, next_key, ids, learnt, .. } = estate;
+                known = handover_state.endpoints.iter().filter(listed).map(|(_, one)| one.clone()).collect();
+                revision = handover_state.revision;
+                let HandoverState { endpoints, next_endpoint, dests, keys, next_key, ids, learnt, .. } =
+                    handover_state;
                 (
-                    Rules::heir(settings, seed, learnt),
-                    Places::heir(endpoints, next_endpoint),
-                    Ids::heir(ids),
+                    Rules::successor(settings, seed, learnt),
+                    Places::successor(endpoints, next_endpoint),
+                    Ids::successor(ids),
                     Names::of(dests),
-                    Keys::heir(keys, next_key),
+                    Keys::successor(keys, next_key),
                 )
             }
             None => {
@@ -296,11 +297,11 @@
             notes: Vec::new(),
             events: Vec::new(),
             wake: None,
-            strain: Strain::new(strain),
+            overload: OverloadDetector::new(overload),
             stopping: None,
             orders: Vec::new(),
             seen: None,
-            succession: self.succession,
+            handover: self.handover,
             revision,
         };
         desk.listed(Scope::Persisted, known);
@@ -326,7 +327,7 @@
             if late > span(self.limits.stall) {
                 thread::sleep(self.limits.stall_pause);
             }
-            if self.strain.late(self.clock.now(), late) {
+            if self.overload.late(self.clock.now(), late) {
                 self.counters.stalls.add(1);
             }
             heard.extend(words.try_iter().take(self.limits.mailbox));
@@ -370,7 +371,7 @@
     /// Takes the next step towards another process's taking over; whether that was the last one.
     fn hands_over(&mut self, words: &Receiver<Word>) -> bool {
         let now = self.clock.now();
-        let Some(Succession { watch, machine, intake, folder }) = &mut self.succession else { return false };
+        let Some(Handover { watch, machine, intake, folder }) = &mut self.handover else { return false };
         let asked = watch.asked();
         let heard = machine.is_leaving() && intake.all_heard();
         let mut step = machine.step(now, Seen { asked, out: !self.out.is_empty(), heard });
@@ -379,28 +380,31 @@
             words.try_iter().for_each(|word| self.hear(word));
             // What came in just now is decided on too, so that no wait told at the last moment is lost.
             self.decide();
-            let written =
-                if self.flush() { self.estate().write(&folder) } else { Err(ErrorKind::StorageFull.into()) };
+            let written = if self.flush() {
+                self.handover_state().write(&folder)
+            } else {
+                Err(ErrorKind::StorageFull.into())
+            };
             let Err(e) = written else {
                 log!("another process takes over; {} texts are owed", self.wal.owed().len());
                 // The end that follows is asked for, as one by a signal is.
-                self.succession.iter().for_each(|own| own.intake.stopping.store(true, Ordering::Relaxed));
+                self.handover.iter().for_each(|own| own.intake.stopping.store(true, Ordering::Relaxed));
                 return true;
             };
             log!("another process can't take over: {e}");
-            step = self.succession.as_mut().map(|succession| succession.machine.cant_leave());
+            step = self.handover.as_mut().map(|handover| handover.machine.cant_leave());
         }
-        let Some(Succession { intake, .. }) = &self.succession else { return false };
+        let Some(Handover { intake, .. }) = &self.handover else { return false };
         match step {
             Some(Step::Hold) => {
                 log!("another process waits to take over");
                 intake.leaves(true);
                 self.events.push(Event::Quiet(true));
             }
-            Some(Step::ShutDoor) => intake.shut_door(true),
+            Some(Step::StopAccepting) => intake.stop_accepting(true),
             Some(Step::Resume) => {
                 log!("no other process takes over now");
-                intake.shut_door(false);
+                intake.stop_accepting(false);
                 intake.leaves(false);
                 self.events.push(Event::Quiet(false));
             }
@@ -410,10 +414,10 @@
     }
 
     /// All that the next owner has to know beside the journal.
-    fn estate(&self) -> Estate {
+    fn handover_state(&self) -> HandoverState {
         let (endpoints, next_endpoint) = self.places.known();
         let names = |names: &Names<String>| (0..names.len()).map(|at| names.name(at).clone()).collect();
-        Estate {
+        HandoverState {
             kinds: names(&self.site.kinds),
             zones: names(&self.site.zones),
             revision: self.revision,
@@ -678,9 +682,9 @@
         }
         let now = self.clock.now();
         // What lay unread while this sender stood still was sent up to a client's patience earlier than it came.
-        info.until_ms -= self.strain.unread(now, span(self.limits.admission)).as_millis();
+        info.until_ms -= self.overload.unread(now, span(self.limits.admission)).as_millis();
         let left = Moment::from_millis(info.until_ms).since(now);
-        if let Err(again) = self.strain.admit(now, left, span(came.elapsed())) {
+        if let Err(again) = self.overload.admit(now, left, span(came.elapsed())) {
             self.counters.turned_away_late.add(1);
             log_account!(dest = info.dest, why = "late"; "turned-away");
             _ = reply.try_send(Admission::Later(again));
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Default)]
 pub struct Ends {
     pub answered: Counter,
-    /// Nacked, also at the door.
+    /// Nacked, also on arrival.
     pub deferred: Counter,
     /// Undeliverable.
     pub errored: Counter,
--- a/crates/sender/src/succession.rs
+++ b/crates/sender/src/handover.rs
@@ -16,8 +16,9 @@
 use std::time::{Duration, Instant};
 
 const NEXT: &str = "next";
-const ESTATE: &str = "estate";
-const ESTATE_NEW: &str = "estate.new";
+// The file keeps the name that earlier versions look for.
+const STATE_FILE: &str = "estate";
+const STATE_FILE_NEW: &str = "estate.new";
 
 /// Before the checksum: which form the rest has. A successor of another form starts as after a kill.
 const FORM: u32 = 1;
@@ -87,7 +88,7 @@
 
 /// All that a process knows beside the journal, under the indices that it has given.
 #[derive(Serialize, Deserialize)]
-pub struct Estate {
+pub struct HandoverState {
     /// In their order in the settings, which the indices below count.
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
@@ -104,15 +105,15 @@
     pub learnt: Learnt,
 }
 
-impl Estate {
+impl HandoverState {
     /// Leaves it to the next owner.
     pub fn write(&self, folder: &Path) -> io::Result<()> {
         let payload = postcard::to_stdvec(self).map_err(io::Error::other)?;
-        let path = folder.join(ESTATE_NEW);
+        let path = folder.join(STATE_FILE_NEW);
         let mut file = File::create(&path)?;
         let head = [FORM.to_le_bytes(), crc32fast::hash(&payload).to_le_bytes()].concat();
         let written = file.write_all(&head).and_then(|()| file.write_all(&payload));
-        let moved = written.and_then(|()| fs::rename(&path, folder.join(ESTATE)));
+        let moved = written.and_then(|()| fs::rename(&path, folder.join(STATE_FILE)));
         if moved.is_err() {
             // On a full disk it would only take more room.
             _ = fs::remove_file(&path);
@@ -121,8 +122,8 @@
     }
 
     /// Takes what the last owner left, if it left in order and to a process like this one.
-    pub fn take(folder: &Path) -> Option<Estate> {
-        let path = folder.join(ESTATE);
+    pub fn take(folder: &Path) -> Option<HandoverState> {
+        let path = folder.join(STATE_FILE);
         let bytes = fs::read(&path).ok()?;
         // Whatever becomes of it, it is of no use a second time.
         remove(path);
--- a/crates/sender/src/ids.rs
+++ b/crates/sender/src/ids.rs
@@ -55,7 +55,7 @@
         over.collect()
     }
 
-    pub fn heir(left: Vec<(String, u32, bool, f64)>) -> Ids {
+    pub fn successor(left: Vec<(String, u32, bool, f64)>) -> Ids {
         let mut ids = Ids::default();
         let now = Instant::now();
         for (id, form, proven, ms) in left {
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -1,13 +1,13 @@
-//! The door for clients: takes requests from their connections and answers each.
+//! The intake of clients: takes requests from their connections and answers each.
 
+use crate::accept_queue::AcceptQueue;
 use crate::config::{InForce, Site};
 use crate::counters::Counters;
 use crate::decider::{Admission, HandIn, Word};
-use crate::door::Door;
 use crate::http::{self, Rejection, Request};
 use crate::limits::Limits;
 use crate::link::is_shortage;
-use crate::lobby::{self, Lobby, Session};
+use crate::reactor::{self, Reactor, Session};
 use crate::ring::Ring;
 use crate::wal::TextInfo;
 use crate::{Mailbox, clock::Clock, log, threads};
@@ -34,7 +34,7 @@
     pub stopping: Arc<AtomicBool>,
     pub clients: Clients,
     pub budget: Budget,
-    pub lobby: Lobby,
+    pub reactor: Reactor,
     closed: AtomicBool,
     /// Another process is about to take over: connections end with their answer.
     leaving: AtomicBool,
@@ -149,11 +149,11 @@
 }
 
 /// A connection that came, with its right to a descriptor.
-pub struct Comer {
+pub struct PendingConnection {
     pub stream: TcpStream,
     pub address: IpAddr,
     pub token: Token,
-    /// Its address holds all that one may: at the door it goes before others.
+    /// Its address holds all that one may: in the accept queue it goes before others.
     pub over: bool,
 }
 
@@ -182,7 +182,7 @@
         let (stopping, closed, leaving, shut, seen_shut) = Default::default();
         let wake = pipe()?;
         let clients = Clients::new(clock, limits.connections.clone());
-        let lobby = Lobby::new(limits.descriptors)?;
+        let reactor = Reactor::new(limits.descriptors)?;
         Ok(Intake {
             clock,
             limits,
@@ -192,7 +192,7 @@
             stopping,
             clients,
             budget,
-            lobby,
+            reactor,
             closed,
             leaving,
             shut,
@@ -221,7 +221,7 @@
     }
 
     /// Lets nobody in any more, and ends those who rest; or lets in as before.
-    pub fn shut_door(&self, on: bool) {
+    pub fn stop_accepting(&self, on: bool) {
         self.seen_shut.store(false, Ordering::SeqCst);
         self.shut.store(on, Ordering::SeqCst);
         self.wake();
@@ -230,14 +230,14 @@
         }
     }
 
-    /// Whether the door is shut and every client that came in before has its answer.
+    /// Whether nobody is accepted any more and every client that came in before has its answer.
     pub fn all_heard(&self) -> bool {
         let shut = self.seen_shut.load(Ordering::SeqCst);
-        shut && self.clients.open() == 0 && self.budget.used(Purpose::Door) == 0
+        shut && self.clients.open() == 0 && self.budget.used(Purpose::Accept) == 0
     }
 
     /// Takes connections from a socket that other processes share, as long as this one is to.
-    fn share(self: &Arc<Intake>, listener: &TcpListener, overflow: &Sender<Comer>) {
+    fn share(self: &Arc<Intake>, listener: &TcpListener, overflow: &Sender<PendingConnection>) {
         let beat = Timespec { tv_sec: 0, tv_nsec: self.limits.rest_beat.subsec_nanos().into() };
         while !self.is_closed() {
             let shut = self.shut.load(Ordering::SeqCst);
@@ -272,11 +272,11 @@
 
     /// Takes connections for the sender's whole life.
     pub fn run(self: Arc<Intake>, listener: TcpListener, shared: bool) {
-        // Nobody waits between this thread and the door: whoever is handed over is in the door's hand.
-        let (overflow, comers) = bounded(0);
-        let door = Door::new(Arc::clone(&self));
-        if let Err(e) = threads::spawn("door", self.limits.stack, move || door.run(&comers)) {
-            return log!("no thread for the door: {e}");
+        // Nobody waits between this thread and the queue: whoever is handed over is in its hand.
+        let (overflow, arriving) = bounded(0);
+        let queue = AcceptQueue::new(Arc::clone(&self));
+        if let Err(e) = threads::spawn("accept", self.limits.stack, move || queue.run(&arriving)) {
+            return log!("no thread for the accept queue: {e}");
         }
         if shared {
             return self.share(&listener, &overflow);
@@ -292,11 +292,11 @@
         }
     }
 
-    fn welcome(self: &Arc<Intake>, stream: TcpStream, door: &Sender<Comer>) {
+    fn welcome(self: &Arc<Intake>, stream: TcpStream, queue: &Sender<PendingConnection>) {
         self.counters.connections.add(1);
         // One whose address can't be told counts with the others of that sort.
         let address = stream.peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
-        let Some(token) = self.token(Purpose::Door, self.limits.door_time) else {
+        let Some(token) = self.token(Purpose::Accept, self.limits.accept_queue_time) else {
             // Every descriptor is promised to others; the end of the connection is all the answer there is.
             self.counters.unheard.add(1);
             return;
@@ -304,9 +304,10 @@
         _ = stream.set_nodelay(true);
         _ = stream.set_write_timeout(Some(self.limits.write_time));
         // Those behind it wait in the listen backlog meanwhile, which loses nobody; ended unheard at once, a client
-        // with a text would be lost in any burst that this thread takes faster than the door looks at it.
-        if let Some(comer) = self.seat(Comer { stream, address, token, over: false }, Worth::Unknown)
-            && door.send_timeout(comer, self.limits.door_time).is_err()
+        // with a text would be lost in any burst that this thread takes faster than the queue looks at it.
+        if let Some(pending) =
+            self.seat(PendingConnection { stream, address, token, over: false }, Worth::Unknown)
+            && queue.send_timeout(pending, self.limits.accept_queue_time).is_err()
         {
             self.counters.unheard.add(1);
         }
@@ -325,11 +326,11 @@
     }
 
     /// Gives a connection a place, or gives it back.
-    pub fn seat(self: &Arc<Intake>, comer: Comer, worth: Worth) -> Option<Comer> {
-        let Comer { stream, address, token, over } = comer;
+    pub fn seat(self: &Arc<Intake>, pending: PendingConnection, worth: Worth) -> Option<PendingConnection> {
+        let PendingConnection { stream, address, token, over } = pending;
         let stream = Arc::new(stream);
         let back = |stream: Arc<TcpStream>, token, over| {
-            Arc::into_inner(stream).map(|stream| Comer { stream, address, token, over })
+            Arc::into_inner(stream).map(|stream| PendingConnection { stream, address, token, over })
         };
         let number = match self.clients.admit(&stream, address, worth) {
             Ok(number) => number,
@@ -352,7 +353,7 @@
         }
         let session = Box::new(Session::new(number, stream, passed.expect("the loop ends with it")));
         let at = self.next_look(&session);
-        let Err(session) = self.lobby.park(session, at) else { return None };
+        let Err(session) = self.reactor.park(session, at) else { return None };
         let Session { stream, token, .. } = *session;
         self.clients.ended(number);
         back(stream, token, over)
@@ -595,12 +596,12 @@
             text += &format!("connections_turned_away_{} {count}\n", format!("{reason:?}").to_lowercase());
         }
         for (name, purpose) in
-            [("client", Purpose::Client), ("door", Purpose::Door), ("gateway", Purpose::Gateway)]
+            [("client", Purpose::Client), ("door", Purpose::Accept), ("gateway", Purpose::Gateway)]
         {
             text += &format!("descriptors_{name} {}\n", self.budget.used(purpose));
             text += &format!("descriptors_{name}_refused {}\n", self.budget.refused(purpose));
         }
-        text += &format!("client_threads {}\n", self.lobby.threads());
+        text += &format!("client_threads {}\n", self.reactor.threads());
         text
     }
 
@@ -683,7 +684,7 @@
 }
 
 fn quiet(stream: &TcpStream) -> Quiet {
-    match lobby::peek(stream, &mut [0]) {
+    match reactor::peek(stream, &mut [0]) {
         Ok(0) => Quiet::Ended,
         Ok(_) => Quiet::More,
         Err(e) if e.kind() == ErrorKind::WouldBlock => Quiet::Yes,
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -2,31 +2,31 @@
 //!
 //! [`Sender::start`] brings one up inside any program; [`run`] is the whole daemon. Threads are actors that
 //! speak by bounded mailboxes: the decider owns the decisions and the log, each endpoint has a peer, and the
-//! list, the notices and the door for clients have one each. Another protocol is put in front of the same
+//! list, the notices and the intake of clients have one each. Another protocol is put in front of the same
 //! decisions by an intake or a peer of its own.
 
-pub mod asking;
+pub mod accept_queue;
 pub mod clock;
 pub mod config;
 pub mod control;
 pub mod counters;
 pub mod decider;
-pub mod door;
 pub mod figures;
+pub mod handover;
 pub mod http;
 pub mod ids;
 pub mod intake;
 pub mod limits;
 pub mod link;
 pub mod list;
-pub mod lobby;
 pub mod log;
 pub mod notices;
 pub mod peer;
 pub mod places;
 pub mod platform;
+pub mod poll_schedule;
+pub mod reactor;
 pub mod ring;
-pub mod succession;
 pub mod terms;
 pub mod texts_log;
 pub mod threads;
@@ -196,7 +196,7 @@
         };
         let passed = match passed {
             Some(number) => {
-                Some(succession::passed_socket(&number).map_err(|e| format!("ROUTER_PASSED_SOCKET: {e}"))?)
+                Some(handover::passed_socket(&number).map_err(|e| format!("ROUTER_PASSED_SOCKET: {e}"))?)
             }
             None => None,
         };
@@ -226,11 +226,11 @@
             Some(_) => (true, succeed(&state, &limits, clock, &ready, told)?),
             None => (false, wal::Wal::open(&state, &limits, clock.now()).map_err(complain)?),
         };
-        let estate = succession::Estate::take(&state).filter(|estate| {
+        let handover_state = handover::HandoverState::take(&state).filter(|handover_state| {
             let same = |names: &indigomast_site::Names<String>, left: &[String]| {
                 names.len() == left.len() && left.iter().enumerate().all(|(at, name)| names.name(at) == name)
             };
-            same(&site.kinds, &estate.kinds) && same(&site.zones, &estate.zones)
+            same(&site.kinds, &handover_state.kinds) && same(&site.zones, &handover_state.zones)
         });
         let listener = match passed {
             Some(listener) => listener,
@@ -256,8 +256,8 @@
                     platform: Arc::clone(&there),
                     site: Arc::clone(&site),
                     limits: Arc::clone(&limits),
-                    revision: match &estate {
-                        Some(estate) => estate.revision,
+                    revision: match &handover_state {
+                        Some(handover_state) => handover_state.revision,
                         None => Some(known.revision),
                     },
                 };
@@ -293,9 +293,9 @@
         )
         .map_err(|e| format!("no way to wait for clients: {e}"))?;
         let intake = Arc::new(intake);
-        let succession = match shared {
-            true => Some(decider::Succession {
-                watch: succession::Watch::new(&state, limits.asked_beat).map_err(complain)?,
+        let handover = match shared {
+            true => Some(decider::Handover {
+                watch: handover::Watch::new(&state, limits.asked_beat).map_err(complain)?,
                 machine: Incumbent::new(limits.handover),
                 intake: Arc::clone(&intake),
                 folder: state,
@@ -315,17 +315,17 @@
             wal,
             seed,
             known,
-            estate,
-            succession,
+            handover_state,
+            handover,
         };
         threads::actor("decider", limits.decider_stack, &over, move || actor.run(words))
             .map_err(threadless)?;
 
         let waits = Arc::clone(&intake);
-        threads::actor("lobby", stack, &over, move || waits.lobby.run(&waits)).map_err(threadless)?;
+        threads::actor("reactor", stack, &over, move || waits.reactor.run(&waits)).map_err(threadless)?;
         let stopping = Arc::clone(&intake.stopping);
-        let door = Arc::clone(&intake);
-        threads::actor("intake", stack, &over, move || door.run(listener, shared)).map_err(threadless)?;
+        let accepts = Arc::clone(&intake);
+        threads::actor("intake", stack, &over, move || accepts.run(listener, shared)).map_err(threadless)?;
         ready.store(true, Ordering::Relaxed);
         let stopper = Stopper { decider, stopping, ready, intake };
         Ok(Sender {
@@ -389,7 +389,7 @@
             opened => Some(opened.map_err(complain)?),
         };
         if asking.is_none() && owned.is_none() {
-            asking = succession::Asking::begin(state).map_err(complain)?;
+            asking = handover::Asking::begin(state).map_err(complain)?;
         }
         let step = machine.step(clock.now(), owned.is_some());
         if let (Some(Move::Own), Some(wal)) = (step, owned) {
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -1,7 +1,7 @@
 //! Every size, count and time that bounds the sender, worked out once from what it is allowed.
 
 use indigomast::time::Span;
-use indigomast_admission::{Network, Prefixes, Purpose, Settings, Shares, StrainSettings};
+use indigomast_admission::{Network, OverloadSettings, Prefixes, Purpose, Settings, Shares};
 use indigomast_handover::Settings as HandoverSettings;
 use indigomast_journal::Durability;
 use serde::Deserialize;
@@ -135,8 +135,8 @@
     /// Connections that may lie unaccepted: a burst must find its place here, as those beyond it come again a second
     /// later, and that is longer than a client waits for its answer.
     pub backlog: i32,
-    /// At the door, one in the hand of each of the two threads there included.
-    pub door: usize,
+    /// In the accept queue, one in the hand of each of the two threads there included.
+    pub accept_queue: usize,
     pub links: usize,
     pub reports_a_call: usize,
     /// The journal's files, and what the texts at hand may take of them and of the memory.
@@ -187,10 +187,10 @@
     pub admission: Duration,
     /// How long what a turned away client still sends is read, so that the answer reaches it.
     pub linger: Duration,
-    /// How long a connection may wait for the door to look at it.
-    pub door_time: Duration,
-    /// How often those that wait at the door are looked at.
-    pub door_beat: Duration,
+    /// How long a connection may wait for the accept queue to look at it.
+    pub accept_queue_time: Duration,
+    /// How often those that wait there are looked at.
+    pub accept_queue_beat: Duration,
     /// A request that can't be taken is answered so much later.
     pub bad_pause: Duration,
     pub linger_bytes: usize,
@@ -223,7 +223,7 @@
     pub connections: Settings,
     pub least_rate: f64,
     /// What lateness of this sender's own means for new texts.
-    pub strain: StrainSettings,
+    pub overload: OverloadSettings,
     /// All descriptors that connections may take, and their shares.
     pub descriptors: usize,
     pub shares: Shares,
@@ -256,11 +256,11 @@
         let turned_away = (sockets / 12).max(2);
         let reading = (memory / 3 / (head + body)) as usize;
         let clients = sockets.saturating_sub(links + turned_away).min(reading).max(2);
-        // Those that make room are open until their threads have seen it. For them there is a third of what the door
+        // Those that make room are open until their threads have seen it. For them there is a third of what the queue
         // could hold, and eight of those kept free above.
         let descriptors = sockets + 8;
-        let door = (turned_away - turned_away / 3).max(3);
-        let leaving = descriptors.saturating_sub(clients + links + door);
+        let accept_queue = (turned_away - turned_away / 3).max(3);
+        let leaving = descriptors.saturating_sub(clients + links + accept_queue);
         Limits {
             head: head as usize,
             body: body as usize,
@@ -278,7 +278,7 @@
             key_rest: Duration::from_secs(10),
             clients,
             backlog: (2 * grant.sockets).clamp(128, 4096) as i32,
-            door,
+            accept_queue,
             links,
             reports_a_call: 64,
             journal,
@@ -310,8 +310,8 @@
             write_time: Duration::from_millis(300),
             admission: Duration::from_millis(350),
             linger: Duration::from_millis(200),
-            door_time: Duration::from_millis(100),
-            door_beat: Duration::from_millis(20),
+            accept_queue_time: Duration::from_millis(100),
+            accept_queue_beat: Duration::from_millis(20),
             bad_pause: Duration::from_millis(100),
             linger_bytes: 256 << 10,
             answer_rest: Duration::from_millis(250),
@@ -341,11 +341,11 @@
                 ..Settings::default()
             },
             least_rate: 0.0,
-            strain: StrainSettings::default(),
+            overload: OverloadSettings::default(),
             descriptors,
             shares: Shares::new(|purpose| match purpose {
                 Purpose::Client => (clients, clients + leaving),
-                Purpose::Door => (door, door),
+                Purpose::Accept => (accept_queue, accept_queue),
                 Purpose::Gateway => (links, links + leaving),
                 Purpose::House => (0, 0),
             }),
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -1,6 +1,5 @@
 //! The list of endpoints: what a source of it is, and the platform's discovery, which is asked for it or watched.
 
-use crate::asking::Turns;
 use crate::clock::duration;
 use crate::config::Site;
 use crate::counters::Counters;
@@ -9,6 +8,7 @@
 use crate::limits::Limits;
 use crate::link::Link;
 use crate::platform::Platform;
+use crate::poll_schedule::PollSchedule;
 use crate::{Mailbox, log, log_account, threads};
 use crossbeam_channel::Receiver;
 use indigomast::api::{Condition, KindId, ZoneId};
@@ -150,7 +150,7 @@
     running: Mutex<Running>,
     /// Changes come unasked at this site, so a watch that ended is begun anew by the carrier.
     unasked: bool,
-    turns: Mutex<Turns>,
+    schedule: Mutex<PollSchedule>,
     term: Duration,
 }
 
@@ -200,8 +200,8 @@
         let revision = revision.map(|revision| (platform.address(), revision));
         let running = Mutex::new(Running { number: 0, stream: None, revision });
         let (term, info) = (duration(site.info.decode().must_ask_in), &site.info);
-        let turns = Mutex::new(Turns::new(Instant::now(), info.ordinal, info.group_size, term));
-        let desk = Desk { platform, site, limits, teller, running, unasked, turns, term };
+        let schedule = Mutex::new(PollSchedule::new(Instant::now(), info.ordinal, info.group_size, term));
+        let desk = Desk { platform, site, limits, teller, running, unasked, schedule, term };
         let desk = Arc::new(desk);
         if unasked {
             desk.watch(true);
@@ -210,7 +210,7 @@
             match ask {
                 Ask::Watch(on) => desk.watch(on),
                 Ask::Renew => {
-                    desk.turns().renewed(Instant::now(), desk.term);
+                    desk.schedule().renewed(Instant::now(), desk.term);
                     desk.watch_anew();
                 }
                 Ask::Read => match desk.ask(&mut None, 0, None) {
@@ -233,8 +233,8 @@
         self.teller.tell(Some(listing));
     }
 
-    fn turns(&self) -> std::sync::MutexGuard<'_, Turns> {
-        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    fn schedule(&self) -> std::sync::MutexGuard<'_, PollSchedule> {
+        self.schedule.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn running(&self) -> std::sync::MutexGuard<'_, Running> {
@@ -269,8 +269,8 @@
         let mut link = None;
         loop {
             // Nothing is held while a turn is waited for, not even a connection.
-            let turns = self.turns().clone();
-            let (wait, watches) = (turns.wait(Instant::now()), turns.watches());
+            let schedule = self.schedule().clone();
+            let (wait, watches) = (schedule.wait(Instant::now()), schedule.watches());
             if !wait.is_zero() {
                 link = None;
                 if !self.running().rests(number) {
@@ -282,7 +282,7 @@
                 }
             }
             let since = Instant::now();
-            self.turns().asks(since);
+            self.schedule().asks(since);
             let asked = self.ask(&mut link, number, watches.then_some(self.limits.watch_hold));
             // A watch that was ended or replaced has nothing more to say. It is not replaced while it speaks:
             // its revision would pass for one of the next watch's discovery.
@@ -290,7 +290,7 @@
             if running.number != number {
                 return;
             }
-            self.turns().answered(asked.is_ok());
+            self.schedule().answered(asked.is_ok());
             match asked {
                 Ok((address, listing)) => self.tell(&mut running, address, listing),
                 Err(e) => {
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -116,7 +116,7 @@
     }
 
     /// Those of the process before, under their indices. What is listed of them is told anew.
-    pub fn heir(known: Vec<(EndpointId, Listed)>, next: usize) -> Places {
+    pub fn successor(known: Vec<(EndpointId, Listed)>, next: usize) -> Places {
         let mut places = Places { next, ..Places::default() };
         for (at, one) in known {
             places.by_name.insert(one.name.clone(), at);
--- a/crates/sender/src/asking.rs
+++ b/crates/sender/src/poll_schedule.rs
@@ -23,7 +23,7 @@
 
 /// The turns of one sender.
 #[derive(Clone, Debug)]
-pub struct Turns {
+pub struct PollSchedule {
     /// From one question to the next while they are answered, as it is now, and at the most.
     round: Duration,
     present: Duration,
@@ -34,10 +34,10 @@
     watches: bool,
 }
 
-impl Turns {
+impl PollSchedule {
     /// Of the sender with this number among so many, which may not go without asking for longer than `term` (zero where it
     /// need not ask).
-    pub fn new(now: Instant, number: usize, senders: usize, term: Duration) -> Turns {
+    pub fn new(now: Instant, number: usize, senders: usize, term: Duration) -> PollSchedule {
         let senders = senders.max(1);
         let wanted = APART * senders.min(100_000) as u32;
         let longest = if term.is_zero() { wanted.mul_f64(LONGEST) } else { term.mul_f64(PART_OF_TERM) };
@@ -45,7 +45,7 @@
         let place = (number % senders) as f64 / senders as f64;
         let watches = wanted <= TAKES_TURNS;
         let first = if watches { Duration::ZERO } else { round.mul_f64(place) };
-        Turns { round, present: round, longest, place, next: now + first, watches }
+        PollSchedule { round, present: round, longest, place, next: now + first, watches }
     }
 
     /// Whether it asks to be told of changes as they come, one question after the other.
--- a/crates/sender/src/asking/tests.rs
+++ b/crates/sender/src/poll_schedule/tests.rs
@@ -7,13 +7,13 @@
     let start = Instant::now();
     let mut asked: Vec<Duration> = Vec::new();
     for number in 0..senders {
-        let (mut turns, mut now) = (Turns::new(start, number, senders, TERM), start);
+        let (mut schedule, mut now) = (PollSchedule::new(start, number, senders, TERM), start);
         while now < start + Duration::from_secs(60) {
-            now += turns.wait(now);
+            now += schedule.wait(now);
             asked.push(now - start);
-            turns.asks(now);
+            schedule.asks(now);
             now += after;
-            turns.answered(well);
+            schedule.answered(well);
         }
     }
     asked.sort();
@@ -39,14 +39,14 @@
     for senders in [1, 3, 40, 100, 300, 5000] {
         for number in [0, senders / 2, senders - 1] {
             let mut now = Instant::now();
-            let mut turns = Turns::new(now, number, senders, TERM);
+            let mut schedule = PollSchedule::new(now, number, senders, TERM);
             // Also where discovery answers nobody for long.
             for turn in 0..20 {
-                let wait = turns.wait(now);
+                let wait = schedule.wait(now);
                 assert!(wait < TERM, "{senders} senders: {wait:?} without a question");
                 now += wait;
-                turns.asks(now);
-                turns.answered(turn % 10 < 2);
+                schedule.asks(now);
+                schedule.answered(turn % 10 < 2);
             }
         }
     }
@@ -55,11 +55,11 @@
 #[test]
 fn few_senders_ask_again_as_soon_as_they_are_answered() {
     let now = Instant::now();
-    let mut turns = Turns::new(now, 1, 3, TERM);
-    assert!(turns.wait(now).is_zero());
-    turns.asks(now);
-    assert!(turns.watches() && turns.wait(now).is_zero());
-    assert!(!Turns::new(now, 1, 100, TERM).watches());
+    let mut schedule = PollSchedule::new(now, 1, 3, TERM);
+    assert!(schedule.wait(now).is_zero());
+    schedule.asks(now);
+    assert!(schedule.watches() && schedule.wait(now).is_zero());
+    assert!(!PollSchedule::new(now, 1, 100, TERM).watches());
 }
 
 #[test]
@@ -67,10 +67,10 @@
     let now = Instant::now();
     let waits: Vec<Duration> = (0..100)
         .map(|number| {
-            let mut turns = Turns::new(now, number, 100, TERM);
-            turns.asks(now);
-            turns.renewed(now, TERM);
-            turns.wait(now)
+            let mut schedule = PollSchedule::new(now, number, 100, TERM);
+            schedule.asks(now);
+            schedule.renewed(now, TERM);
+            schedule.wait(now)
         })
         .collect();
     assert!(waits.iter().all(|wait| *wait < Duration::from_secs(2)));
--- a/crates/sender/src/lobby.rs
+++ b/crates/sender/src/reactor.rs
@@ -35,7 +35,7 @@
     pub rested: Instant,
     /// It has handed in a text that was taken on.
     pub proven: bool,
-    /// Known to the lobby's wait.
+    /// Known to the reactor's wait.
     armed: bool,
 }
 
@@ -85,7 +85,7 @@
     due: BTreeSet<(Instant, Number)>,
 }
 
-pub struct Lobby {
+pub struct Reactor {
     epoll: OwnedFd,
     parked: Mutex<Parked>,
     work: Sender<Work>,
@@ -94,13 +94,13 @@
     idle: AtomicUsize,
 }
 
-impl Lobby {
+impl Reactor {
     /// For so many connections.
-    pub fn new(most: usize) -> io::Result<Lobby> {
+    pub fn new(most: usize) -> io::Result<Reactor> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
         let (work, inbox) = bounded(most);
         let (parked, threads, idle) = Default::default();
-        Ok(Lobby { epoll, parked, work, inbox, threads, idle })
+        Ok(Reactor { epoll, parked, work, inbox, threads, idle })
     }
 
     fn lock(&self) -> MutexGuard<'_, Parked> {
@@ -222,7 +222,7 @@
         }
         self.threads.fetch_add(1, Ordering::Relaxed);
         let helper = Arc::clone(intake);
-        if let Err(e) = threads::spawn("client", intake.limits.stack, move || helper.lobby.help(&helper)) {
+        if let Err(e) = threads::spawn("client", intake.limits.stack, move || helper.reactor.help(&helper)) {
             self.threads.fetch_sub(1, Ordering::Relaxed);
             intake.counters.no_descriptor.add(1);
             log!("no thread for a client: {e}");
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -61,25 +61,25 @@
     pub fn open() -> Host {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
-        let (door, visits) = unbounded();
+        let (arrivals, visits) = unbounded();
         let connections = Arc::<AtomicUsize>::default();
         let count = Arc::clone(&connections);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 count.fetch_add(1, Ordering::Relaxed);
-                let door = door.clone();
-                thread::spawn(move || Host::serve(stream, &door));
+                let arrivals = arrivals.clone();
+                thread::spawn(move || Host::serve(stream, &arrivals));
             }
         });
         Host { address, visits, connections }
     }
 
-    fn serve(mut stream: TcpStream, door: &Sender<Visit>) {
+    fn serve(mut stream: TcpStream, arrivals: &Sender<Visit>) {
         let (mut ring, limits) = (Ring::default(), Limits { body: 1 << 20, ..limits() });
         loop {
             while let Some(request) = take_request(&mut ring, &limits).expect("senders speak HTTP") {
                 let (answer, answered) = unbounded();
-                if door.send(Visit { request, answer }).is_err() {
+                if arrivals.send(Visit { request, answer }).is_err() {
                     return;
                 }
                 let Ok(Some(raw)) = answered.recv() else { return };
--- a/crates/sender/tests/sender/owed.rs
+++ b/crates/sender/tests/sender/owed.rs
@@ -122,8 +122,8 @@
             wal.flush().expect("all that may be written of them fits");
             assert!(used(&folder.state()) <= 3_000_000);
         }
-        let Limits { clients, door, links, descriptors, .. } = limits;
-        assert!(clients + door + links <= descriptors && descriptors + 16 <= sockets, "{sockets}");
+        let Limits { clients, accept_queue, links, descriptors, .. } = limits;
+        assert!(clients + accept_queue + links <= descriptors && descriptors + 16 <= sockets, "{sockets}");
         assert!(
             clients > sockets / 3 && clients * (limits.head + limits.body) < memory_mb as usize * 350_000
         );
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -346,10 +346,11 @@
     let mut wal = Wal::open(&folder.state(), &limits, clock.now()).expect("opens");
     let table = settle(&mut wal, &mut site, &figures);
     let site = Arc::new(InForce::new(site));
-    let (counted, granted, estate, succession) = (Arc::clone(&counters), Arc::clone(&limits), None, None);
+    let (counted, granted, handover_state, handover) =
+        (Arc::clone(&counters), Arc::clone(&limits), None, None);
     #[rustfmt::skip]
     let actor = Decider {
-        clock, limits, counters, figures, site, table, trunk, list, notices, wal, seed: 1, known, estate, succession,
+        clock, limits, counters, figures, site, table, trunk, list, notices, wal, seed: 1, known, handover_state, handover,
     };
     Lone { actor, decider, words, reports, counted, limits: granted, folder }
 }
--- a/crates/sender/tests/sender/sockets.rs
+++ b/crates/sender/tests/sender/sockets.rs
@@ -483,7 +483,7 @@
     drop((early, client));
 }
 
-/// Guards against a burst that is taken faster than the door looks at it: those at its end were ended unheard.
+/// Guards against a burst that is taken faster than the queue looks at it: those at its end were ended unheard.
 #[test]
 fn a_client_behind_a_burst_that_says_nothing_is_heard() {
     let (endpoint, _discovery, mut config, folder) = world();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -384,7 +384,7 @@
     }
 
     /// Goes on with what another process has learnt, of which no call is out any more.
-    pub fn heir(settings: Settings, seed: u64, learnt: Learnt) -> Rules {
+    pub fn successor(settings: Settings, seed: u64, learnt: Learnt) -> Rules {
         let Learnt { endpoints, lanes, lost, asked, rests, started } = learnt;
         let mut rules = Rules { endpoints, lanes, lost, started, ..Rules::new(settings, seed) };
         rules.endpoints.values_mut().for_each(|at| at.running = false);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1084,7 +1084,7 @@
     bench.step(vec![Event::Quiet(true)]);
     assert_eq!(submits(&bench.take(3, 0, 0)), [], "nothing new goes out while another takes over");
     let learnt = bench.rules.learnt();
-    bench.rules = Rules::heir(settings(), 9, learnt);
+    bench.rules = Rules::successor(settings(), 9, learnt);
     let list = vec![
         entry(0, 0, 0, Condition::Running),
         entry(1, 0, 0, Condition::Running),
