In a crowd, connections of lanes that are held back are shut too

By destination: those of the kind without a limit on connections deliver all but a few (destination 21: 9,476 of 9,486 taken), those of the other kind a tenth (destination 0: taken 1,803, delivered 287, full 1,969). All these fulls have neither a wait nor a report: 10.031 indigomastd: outcome text=179 submit=1 endpoint=20 verdict=Full wait=0 ms=16.359 left=-1 rate=-1 while a delivery beside them tells that the limit is hardly touched and the endpoint not busy: 10.140 indigomastd: outcome text=59 submit=1 endpoint=20 verdict=Delivered wait=0 ms=73.639 left=0.973 rate=101.39 From the logs of all senders: of the connections at such an endpoint 0.3 to 0.6 carry a call at a time, and 6 to 7 rest until they are used again, 1.9 s in the middle. So the few that an endpoint takes are held by senders that may not send yet. Ruled out: rate limits (left 0.97), the endpoint's speed (57 ms an answer), discovery, memory, processor. At fault: `close_idle` in src/rules.rs shut a connection in a crowd only where nothing waits for its destination. With texts waiting for the lane's pace it stayed open for the whole pace, and what it kept out made more texts wait. Change: in a crowd it is shut as well where the lane does not open now. Test: connections_of_lanes_that_are_held_back_are_shut_in_a_crowd in tests/rules.rs; fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -652,8 +652,7 @@
         };
         if harmless && text.out.is_none() {
             let lanes = self.lanes.range((text.dest, None)..=(text.dest, Some(EndpointId(usize::MAX))));
-            let opens = |lane: &Lane| lane.health.opens(0).map(|next| next.max(lane.wait_until));
-            let until = lanes.filter_map(|(_, lane)| opens(lane)).min();
+            let until = lanes.filter_map(|(_, lane)| Some(lane.health.opens(0)?.max(lane.wait_until))).min();
             let wait = until.map_or(Span::ZERO, |until| until.since(self.now));
             let advice = self.settings.longest_advice.map(|most| wait.max(FIRST_PAUSE).min(most));
             self.actions.push(Action::Nack { text: id, come_back_after: advice });
@@ -677,8 +676,7 @@
 
     fn reschedule(&mut self, id: TextId, told: Moment) {
         let text = &self.texts[&id];
-        let tries = text.submits.clamp(1, 16) as u32;
-        let pause = (FIRST_PAUSE * f64::from(1 << (tries - 1))).min(LONGEST_PAUSE);
+        let pause = (FIRST_PAUSE * f64::from(1 << (text.submits.clamp(1, 16) - 1))).min(LONGEST_PAUSE);
         let at = (self.now + pause * (0.8 + 0.4 * self.chance.share())).max(told);
         let memory_ends = self.memory_ends(text);
         if !self.may_go_again(text) || at >= text.valid_until || memory_ends.is_some_and(|end| at >= end) {
@@ -943,10 +941,13 @@
         let at = &self.endpoints[&id];
         let hold = &self.holds[&at.dest];
         let pause = hold.endpoints.len() as f64 / self.demand(at.dest).max(1e-3);
-        let idle = at.calls.is_empty() && hold.fresh.is_empty() && hold.ready.is_empty();
         let lately = |at: Option<&Moment>| at.is_some_and(|at| self.now.since(*at) < LOST_SPAN);
         let (lost, crowded) = (lately(self.lost.get(&at.kind)), lately(self.crowded.get(&at.kind)));
         let rare = pause > self.settings.keeps_alive.as_secs() * KEPT_PART;
+        // What rests for its lane's pace or wait keeps others out of a crowd as well.
+        let opens = self.lanes.get(&self.lane_of(id)).and_then(|lane| lane.opens(self.settings.slots));
+        let held_back = crowded && opens.is_none_or(|opens| opens > self.now);
+        let idle = at.calls.is_empty() && (held_back || hold.fresh.is_empty() && hold.ready.is_empty());
         if idle && (crowded || lost && rare) {
             self.actions.push(Action::CloseIdle { endpoint: id });
         }
@@ -1164,8 +1165,7 @@
         if self.now >= quiet_from && self.now >= lane.wait_until && lane.calls.is_empty() && held == 0 {
             self.lanes.remove(&id);
         } else {
-            let again = quiet_from.max(lane.wait_until).max(self.now + BEAT);
-            self.dues.insert((again, Due::Idle(id)));
+            self.dues.insert((quiet_from.max(lane.wait_until).max(self.now + BEAT), Due::Idle(id)));
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -940,6 +940,42 @@
     }
 }
 
+/// Guards against texts that wait for their lane's pace and keep a connection at rest meanwhile: where few are taken, so
+/// many senders keep all others out of a receiver that has nothing to do. One that carries the next call at once stays.
+#[test]
+fn connections_of_lanes_that_are_held_back_are_shut_in_a_crowd() {
+    // the rate told, whether a call found no room for its connection, whether connections are left open
+    for (rate, crowd, kept) in [(10.0, true, false), (10.0, false, true), (5_000.0, true, true)] {
+        let mut bench = Bench::new(Settings { tells_limits: true, senders: 300, ..settings() }, 0);
+        let mut out = submits(&bench.take(12, 0, 1));
+        for n in 0..5 {
+            bench.now += 100.0;
+            let (text, endpoint) = out.remove(0);
+            bench.closed = 0;
+            bench.told = (n != 2 || !crowd).then_some(rate);
+            let verdict = if n == 2 && crowd { Verdict::Full } else { Verdict::Delivered };
+            out.extend(submits(&bench.answer(text, endpoint, verdict, None)));
+            // The others that are out come to their end, so that none is out when the last is answered.
+            while n == 4 && !out.is_empty() {
+                let (text, endpoint) = out.remove(0);
+                bench.closed = 0;
+                let done = bench.answer(text, endpoint, Verdict::Delivered, None);
+                if kept && rate > 1_000.0 {
+                    assert!(!submits(&done).is_empty() || bench.submits.len() == 12, "the lane is open");
+                    break;
+                }
+                out.extend(submits(&done));
+            }
+            while out.is_empty() && n < 4 {
+                let done: Vec<Action> = bench.pass(5.0).into_iter().map(|(_, action)| action).collect();
+                out.extend(submits(&done));
+            }
+        }
+        assert!(bench.submits.len() < 12, "texts wait: {rate} {crowd}");
+        assert_eq!(bench.closed == 0, kept, "{rate} {crowd}");
+    }
+}
+
 #[test]
 fn one_of_many_senders_starts_with_more_than_an_equal_part() {
     for senders in [1, 3, 30, 300] {
