--- a/crates/sender/tests/sender/admission.rs
+++ b/crates/sender/tests/sender/admission.rs
@@ -46,6 +46,32 @@
     assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
 }
 
+/// A host that runs hundreds of senders runs out of threads before anything else: how many each has is known. An endpoint
+/// that was never called has none; one in use has its actor and a thread for each of its connections.
+#[test]
+fn threads_grow_by_two_for_each_endpoint_in_use() {
+    let (endpoint, discovery) = (Host::open(), Host::open());
+    let members: Vec<Value> = (0..30).map(|n| member(&format!("e{n}"), &endpoint, n, "Ready")).collect();
+    let (config, folder) = (config(&members, discovery.address), Folder::new());
+    let daemon = Daemon::start(&config, &folder);
+    let mut client = daemon.client();
+    assert_eq!(client.ask(b"GET /up HTTP/1.1\r\n\r\n").0, 200);
+    let before = daemon.threads();
+    let ends = |threads: &BTreeMap<String, usize>| ["peer", "link"].map(|name| threads.get(name).copied());
+    assert_eq!(ends(&before), [None, None], "{before:?}");
+    for n in 0..30 {
+        assert_eq!(client.ask(&text("free", &format!("t{n}"), n, "k", b"")).0, 202);
+        endpoint.next().status(200);
+        daemon.counts("delivered", n + 1);
+    }
+    let after = daemon.threads();
+    println!("{before:?}\n{after:?}");
+    assert_eq!(ends(&after), [Some(30), Some(30)], "{after:?}");
+    // What is no endpoint's is the same few, whatever the list holds.
+    let others = after.values().sum::<usize>() - 60;
+    assert!(others <= 20, "{after:?}");
+}
+
 /// Guards against texts taken on that would run out of time in the next spell of standing still.
 #[test]
 fn after_standing_still_only_texts_are_taken_that_would_outlast_another_spell() {
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -6,6 +6,7 @@
 use indigomast_sender::ring::Ring;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -288,6 +289,15 @@
         Duration::from_nanos((used() - before) / u64::from(stops))
     }
 
+    /// How many threads of each name it has.
+    pub fn threads(&self) -> BTreeMap<String, usize> {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.child.id())).into_iter().flatten().flatten();
+        let names = tasks.filter_map(|task| fs::read_to_string(task.path().join("comm")).ok());
+        let mut count = BTreeMap::new();
+        names.for_each(|name| *count.entry(name.trim().to_owned()).or_default() += 1);
+        count
+    }
+
     pub fn kill(&mut self) {
         _ = self.child.kill();
         _ = self.child.wait();
