What is read from a shut connection is not sent on; a stop's last requests are answered

Each of these failed before:

- `a_request_that_is_met_by_a_shutdown_is_not_sent_on`: a request unread on a connection at rest that is shut was handed to the decider and answered 202.
Now the connection is taken up under the lock under which it is shut: at rest the request stays unread, the first one of a new connection that went for another is answered 503.
- `a_connection_that_has_just_come_is_answered_after_the_request_to_stop`: `shut_idle` ended connections that had not asked yet too, against its own comment.
- `what_was_read_when_a_stop_ends_is_answered`: 7 of 108 requests were read and their connections ended without a word, as the process ended while answers were on their way.
It waits for them now, up to 150 ms.

Held before: seven floods of clients, a client that never reads, ten endless or broken answers.

`an_old_process_that_stands_still_is_waited_for` failed once here: the log said that the process waits before it was ready. It is ready first now. The test is unchanged.

--- a/crates/admission/src/connections.rs
+++ b/crates/admission/src/connections.rs
@@ -204,6 +204,12 @@
         self.ranks.iter().take_while(|(at, ..)| *at <= state).map(|(.., number)| *number).collect()
     }
 
+    /// Those that came so long ago and have sent nothing whole.
+    pub fn silent(&self, now: Moment, since: Span) -> Vec<Number> {
+        let new = self.ranks.iter().take_while(|(state, ..)| *state <= State::Unproven);
+        new.filter(|(_, at, _)| now.since(*at) >= since).map(|(.., number)| *number).collect()
+    }
+
     /// How many were turned away, by reason.
     pub fn turned_away(&self) -> impl Iterator<Item = (Reason, u64)> {
         self.turned_away.iter().map(|(reason, count)| (*reason, *count))
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -1,6 +1,7 @@
 //! The intake of clients: takes requests from their connections and answers each.
 
 use crate::accept_queue::AcceptQueue;
+use crate::clock::{Clock, span};
 use crate::config::{InForce, Site};
 use crate::counters::Counters;
 use crate::decider::{Admission, HandIn, Word};
@@ -10,9 +11,9 @@
 use crate::reactor::{self, Reactor, Session};
 use crate::ring::Ring;
 use crate::wal::TextInfo;
-use crate::{Mailbox, clock::Clock, log, threads};
+use crate::{Mailbox, log, threads};
 use crossbeam_channel::{Sender, bounded};
-use indigomast::time::Moment;
+use indigomast::time::{Moment, Span};
 use indigomast_admission::{
     Answer, Budget, Connections, Event, Number, Purpose, Reason, Settings, State, Token, Worth,
 };
@@ -55,7 +56,7 @@
 
 struct Seats {
     connections: Connections,
-    /// Each with whether it was ended by this sender, for reading: what had come before is still answered.
+    /// Each with whether it was ended by this sender, for reading: what is read from then on is not sent on.
     streams: BTreeMap<Number, (Arc<TcpStream>, bool)>,
 }
 
@@ -125,12 +126,33 @@
         self.lock().connections.busy() >= limits.crowd
     }
 
-    /// Ends the connections on which nothing is asked; clients find other senders.
-    pub fn shut_idle(&self) {
+    /// Ends the connections at rest; clients find other senders. Not those that have never asked: they may be about to, and
+    /// can't know that nobody would look at it.
+    pub fn shut_rested(&self) {
         let mut seats = self.lock();
-        // One that has never asked may be about to; it is answered that the sender is no longer up.
-        let idle = seats.connections.up_to(State::Resting);
-        idle.into_iter().for_each(|number| seats.shut(number));
+        let new = seats.connections.up_to(State::Unproven).len();
+        // In the order of their states.
+        let rested = seats.connections.up_to(State::Resting).into_iter().skip(new);
+        rested.for_each(|number| seats.shut(number));
+    }
+
+    /// Ends those that came so long ago and have said nothing.
+    fn shut_silent(&self, since: Span) {
+        let now = self.clock.now();
+        let mut seats = self.lock();
+        let silent = seats.connections.silent(now, since);
+        silent.into_iter().for_each(|number| seats.shut(number));
+    }
+
+    /// Takes up what has come on a connection, unless it was shut before.
+    pub fn takes_up(&self, number: Number) -> bool {
+        let now = self.clock.now();
+        let mut seats = self.lock();
+        let open = seats.streams.get(&number).is_some_and(|(_, shut)| !shut);
+        if open {
+            seats.connections.step(now, Event::Enters { number, state: State::Asking });
+        }
+        open
     }
 
     /// Connections that have a place.
@@ -203,7 +225,7 @@
 
     /// Gives the address back; whoever waits for a connection there is woken by one. One that is shared is left as it is.
     pub fn close(&self, address: Option<SocketAddr>) {
-        self.closed.store(true, Ordering::Relaxed);
+        self.closed.store(true, Ordering::SeqCst);
         match address {
             Some(address) => _ = TcpStream::connect_timeout(&address, self.limits.linger),
             None => self.wake(),
@@ -226,13 +248,16 @@
         self.shut.store(on, Ordering::SeqCst);
         self.wake();
         if on {
-            self.clients.shut_idle();
+            self.clients.shut_rested();
         }
     }
 
     /// Whether nobody is accepted any more and every client that came in before has its answer.
     pub fn all_heard(&self) -> bool {
         let shut = self.seen_shut.load(Ordering::SeqCst);
+        if shut {
+            self.clients.shut_silent(span(self.limits.accept_queue_time));
+        }
         shut && self.clients.open() == 0 && self.budget.used(Purpose::Accept) == 0
     }
 
@@ -365,7 +390,7 @@
     }
 
     pub fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::Relaxed)
+        self.closed.load(Ordering::SeqCst)
     }
 
     /// When a connection is to be looked at again even if nothing comes on it.
@@ -526,6 +551,12 @@
                 };
                 let close = close || self.clients.crowd(&self.limits);
                 let ends = &site.ends[product];
+                // Its client may have taken the connection for ended, and then hands it in again.
+                if shut {
+                    self.counters.turned_away.add(1);
+                    ends.deferred.add(1);
+                    return self.put(stream, outward, 503, "", true);
+                }
                 return match self.hand_in(info, request.body.into(), *proven, came) {
                     Some(Admission::Known) => self.put(stream, outward, 202, "", close),
                     Some(Admission::Full) | None => {
@@ -553,9 +584,7 @@
                     }
                     Some(Admission::Taken(text)) => {
                         match quiet(stream) {
-                            // Ended for reading by this sender, which looks the same as by its client.
                             Quiet::Yes => {}
-                            Quiet::Ended if shut => {}
                             // A client that has gone hands the text in again, so this one must not go out as well.
                             Quiet::Ended => {
                                 _ = self.decider.send(Word::Gone(text));
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -90,7 +90,7 @@
         if !self.stopping.swap(true, Ordering::Relaxed) {
             self.ready.store(false, Ordering::Relaxed);
             _ = self.decider.send(decider::Word::Stop);
-            self.intake.clients.shut_idle();
+            self.intake.clients.shut_rested();
         }
     }
 }
@@ -362,6 +362,7 @@
                     intake.close((!self.shared).then_some(self.address));
                     let others = || self.ended.recv_timeout(intake.limits.request_time).ok();
                     while others().is_some_and(|ended| ended.name != "intake") {}
+                    intake.reactor.finish(intake.limits.last_answers);
                     return Ok(());
                 }
                 threads::Ended { name, .. } if !asked => return Err(format!("{name} ended unasked")),
@@ -396,8 +397,9 @@
             return Ok(wal);
         }
         if step == Some(Move::StandBy) {
-            log!("the process before doesn't let go of the journal; its end is waited for");
+            // Before it is said: whoever reads it asks.
             ready.store(true, Ordering::Relaxed);
+            log!("the process before doesn't let go of the journal; its end is waited for");
         }
         if told() {
             return Err("told to stop while it waited for the process before".into());
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -219,6 +219,8 @@
     pub stop_most: Duration,
     /// How often the end of a stop is looked for.
     pub stop_beat: Duration,
+    /// How long requests that were read before it still have for their answers: more than `bad_pause`.
+    pub last_answers: Duration,
     /// Who of the clients gets a place, and bytes a second that a request has to come with.
     pub connections: Settings,
     pub least_rate: f64,
@@ -332,6 +334,7 @@
             stop_submits: Duration::from_millis(2800),
             stop_most: Duration::from_millis(3400),
             stop_beat: Duration::from_millis(20),
+            last_answers: Duration::from_millis(150),
             connections: Settings {
                 places: clients,
                 known_for: Span::millis(3_600_000),
--- a/crates/sender/src/reactor.rs
+++ b/crates/sender/src/reactor.rs
@@ -18,7 +18,8 @@
 use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// One client's connection, and how far its request has come.
 pub struct Session {
@@ -92,6 +93,8 @@
     inbox: Receiver<Work>,
     threads: AtomicUsize,
     idle: AtomicUsize,
+    /// Sessions on which bytes were or are being read and that nobody is done with.
+    served: AtomicUsize,
 }
 
 impl Reactor {
@@ -99,8 +102,8 @@
     pub fn new(most: usize) -> io::Result<Reactor> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
         let (work, inbox) = bounded(most);
-        let (parked, threads, idle) = Default::default();
-        Ok(Reactor { epoll, parked, work, inbox, threads, idle })
+        let (parked, threads, idle, served) = Default::default();
+        Ok(Reactor { epoll, parked, work, inbox, threads, idle, served })
     }
 
     fn lock(&self) -> MutexGuard<'_, Parked> {
@@ -180,18 +183,32 @@
     }
 
     fn came(&self, intake: &Arc<Intake>, mut session: Box<Session>) {
-        match session.read() {
-            Ok(0) => intake.over(&session),
-            Ok(_) => {
-                intake.clients.enters(session.number, State::Asking);
-                self.hand(intake, Work::Serve(session));
+        // Counted before it is looked whether this is over: whoever waits for the last answers misses none.
+        self.served.fetch_add(1, Ordering::SeqCst);
+        let come = peek(&session.stream, &mut [0]);
+        if matches!(come, Ok(1..)) {
+            // What comes at rest on a connection that was shut is left unread: its client sees that nobody looked at it. So
+            // is what comes once nobody can take it on any more.
+            let open = intake.clients.takes_up(session.number);
+            let unread = intake.is_closed() || (!open && session.at_rest());
+            if !unread && matches!(session.read(), Ok(1..)) {
+                return self.hand(intake, Work::Serve(session));
             }
+            self.served.fetch_sub(1, Ordering::SeqCst);
+            return intake.over(&session);
+        }
+        self.served.fetch_sub(1, Ordering::SeqCst);
+        match come {
+            Ok(_) => intake.over(&session),
             // Looked at before its time is judged: after a spell of standing still both are there.
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
                 match intake.due(&session) {
                     Due::Later(at) => self.back(intake, session, at),
                     Due::Ends => intake.over(&session),
-                    Due::TimedOut => self.hand(intake, Work::TimedOut(session)),
+                    Due::TimedOut => {
+                        self.served.fetch_add(1, Ordering::SeqCst);
+                        self.hand(intake, Work::TimedOut(session));
+                    }
                 }
             }
             Err(_) => intake.over(&session),
@@ -210,6 +227,7 @@
             Ok(()) => self.helped(intake),
             Err(e) => {
                 let (Work::Serve(session) | Work::TimedOut(session)) = e.into_inner();
+                self.served.fetch_sub(1, Ordering::SeqCst);
                 intake.over(&session);
             }
         }
@@ -239,10 +257,14 @@
                 work
             });
             match work {
-                Ok(Work::Serve(session)) => self.serve(intake, session),
+                Ok(Work::Serve(session)) => {
+                    self.serve(intake, session);
+                    self.served.fetch_sub(1, Ordering::SeqCst);
+                }
                 Ok(Work::TimedOut(session)) => {
                     threads::survives(|| intake.part(session.number, &session.stream, 408));
                     intake.over(&session);
+                    self.served.fetch_sub(1, Ordering::SeqCst);
                 }
                 Err(RecvTimeoutError::Disconnected) => break,
                 Err(RecvTimeoutError::Timeout) if intake.is_closed() => break,
@@ -265,6 +287,14 @@
         self.back(intake, session, at);
     }
 
+    /// Waits until every request that was read has its answer, as long as that may take.
+    pub fn finish(&self, within: Duration) {
+        let by = Instant::now() + within;
+        while self.served.load(Ordering::SeqCst) > 0 && Instant::now() < by {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Threads of the pool.
     pub fn threads(&self) -> usize {
         self.threads.load(Ordering::Relaxed)
--- a/crates/sender/tests/sender/edges.rs
+++ b/crates/sender/tests/sender/edges.rs
@@ -3,11 +3,23 @@
 
 use crate::common::*;
 use crate::owed::info;
+use crossbeam_channel::{Receiver, unbounded};
 use indigomast::api::*;
 use indigomast::rules::Rules;
 use indigomast::time::{Moment, Span};
+use indigomast_admission::{Budget, Number, Purpose, State, Worth};
+use indigomast_sender::clock::Clock;
+use indigomast_sender::config::{Config, InForce};
+use indigomast_sender::decider::Word;
+use indigomast_sender::intake::{Intake, PendingConnection};
+use indigomast_sender::reactor::Session;
 use indigomast_sender::wal::Wal;
 use serde_json::{Value, json};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 fn world() -> (Host, Host, Value, Folder) {
@@ -125,7 +137,7 @@
         drop(first);
         if late {
             // The window itself.
-            std::thread::sleep(WINDOW.saturating_sub(came.elapsed()));
+            thread::sleep(WINDOW.saturating_sub(came.elapsed()));
         }
         let daemon = Daemon::start(&config, &folder);
         // By its id the client learns that it was taken on. One that thinks it lost hands it in anew, as another text.
@@ -167,3 +179,293 @@
         }
     }
 }
+
+/// What a client saw of a request that it wrote whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Saw {
+    Status(u16),
+    /// Ended with bytes unread: the request was not looked at, and may be sent once more.
+    Reset,
+    /// Read, and ended without a word.
+    Silence,
+}
+
+fn saw(stream: &mut TcpStream, raw: &[u8]) -> Saw {
+    if stream.write_all(raw).is_err() {
+        return Saw::Reset;
+    }
+    let mut head = [0; 12];
+    let mut come = 0;
+    loop {
+        match stream.read(&mut head[come..]) {
+            Ok(0) => return Saw::Silence,
+            Ok(count) => come += count,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return Saw::Reset,
+            Err(e) => panic!("neither answered nor ended: {e}"),
+        }
+        if come == head.len() {
+            return Saw::Status(
+                std::str::from_utf8(&head[9..]).expect("a status").parse().expect("a number"),
+            );
+        }
+    }
+}
+
+/// Some answers take 100 ms, so that a client that asks at once again costs little. Those that are on their way when the
+/// sender has done its last work are still given: what was read is answered, what was not is left unread.
+#[test]
+fn what_was_read_when_a_stop_ends_is_answered() {
+    let (_discovery, _endpoint, config, folder) = world();
+    let mut daemon = Daemon::start(&config, &folder);
+    let address = daemon.address;
+    let (over, asked) = (AtomicBool::new(false), AtomicUsize::new(0));
+    let seen = thread::scope(|scope| {
+        let clients: Vec<_> = (0..12)
+            .map(|client| {
+                let (over, asked) = (&over, &asked);
+                scope.spawn(move || {
+                    let mut seen = Vec::new();
+                    while !over.load(Ordering::Relaxed) {
+                        let Ok(mut stream) = TcpStream::connect(address) else { break };
+                        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+                        // No list has ever named that destination.
+                        let id = format!("c{client}-{}", seen.len());
+                        seen.push(saw(&mut stream, &text("once", &id, 99, "k", b"hello")));
+                        asked.fetch_add(1, Ordering::Relaxed);
+                    }
+                    seen
+                })
+            })
+            .collect();
+        while asked.load(Ordering::Relaxed) < 24 {
+            thread::yield_now();
+        }
+        daemon.signal("-TERM");
+        assert_eq!(daemon.wait(), Some(0));
+        over.store(true, Ordering::Relaxed);
+        clients
+            .into_iter()
+            .flat_map(|client| client.join().expect("each is answered or ended"))
+            .collect::<Vec<_>>()
+    });
+    let count = |what: Saw| seen.iter().filter(|saw| **saw == what).count();
+    assert_eq!(count(Saw::Silence), 0, "{} of {} had no answer", count(Saw::Silence), seen.len());
+    assert!(count(Saw::Status(404)) > 24);
+}
+
+/// An intake whose decider is the test, with room for one connection, which has it; nobody looks at it before the test has
+/// a reactor run. It is a new one, or one that rests after a text.
+fn intake(rests: bool) -> (Arc<Intake>, Receiver<Word>, TcpStream) {
+    let (_discovery, _endpoint, config, folder) = world();
+    let Config { mut limits, site, .. } =
+        Config::parse(&config.to_string(), folder.state()).expect("well-formed");
+    limits.connections.places = 1;
+    let (decider, words) = unbounded();
+    let budget = Budget::new(limits.descriptors, limits.shares);
+    let (clock, limits, site) = (Clock::start(), Arc::new(limits), Arc::new(InForce::new(site)));
+    let intake =
+        Arc::new(Intake::new(clock, limits, Arc::default(), site, decider, budget).expect("descriptors"));
+    let (client, stream) = seat(&intake);
+    if rests {
+        let number = Number(0);
+        let token = intake.budget.take(Purpose::Accept).expect("there are enough");
+        let mut session = Box::new(Session::new(number, Arc::new(stream), token));
+        (session.begun, session.rests, session.proven) = (None, State::Resting, true);
+        intake.clients.enters(number, State::Resting);
+        assert!(intake.reactor.park(session, Instant::now() + PATIENCE).is_ok());
+    }
+    (intake, words, client)
+}
+
+/// One that comes with a text and is given a place: its client's end, and another way to the sender's.
+fn seat(intake: &Arc<Intake>) -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let client = TcpStream::connect(listener.local_addr().expect("bound")).expect("it listens");
+    client.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+    let (stream, from) = listener.accept().expect("it came");
+    let copy = stream.try_clone().expect("a descriptor");
+    let token = intake.budget.take(Purpose::Accept).expect("there are enough");
+    let pending = PendingConnection { stream, address: from.ip(), token, over: false };
+    assert!(intake.seat(pending, Worth::Text).is_none(), "there is room");
+    (client, copy)
+}
+
+/// A request lies unread on a connection that the sender shuts. It must not be sent on any more: its client may have taken
+/// the connection for ended, and hands it in again. On one at rest it is left unread, so that the client knows; the first
+/// one of a new connection, which had to go for another, is answered, as its client can't know that nobody looked at it.
+#[test]
+fn a_request_that_is_met_by_a_shutdown_is_not_sent_on() {
+    for (rests, expected) in [(true, Saw::Reset), (false, Saw::Status(503))] {
+        let (intake, words, mut client) = intake(rests);
+        client.write_all(&text("once", "late", 0, "k", b"hello")).expect("open");
+        let _other = seat(&intake);
+        let work = Arc::clone(&intake);
+        let reactor = thread::spawn(move || work.reactor.run(&work));
+        let seen = saw(&mut client, b"");
+        let handed = words.try_iter().any(|word| matches!(word, Word::HandIn(_)));
+        assert_eq!((handed, seen), (false, expected), "rests: {rests}");
+        intake.close(None);
+        reactor.join().expect("no panic");
+    }
+}
+
+/// Told to stop, a sender ends the connections at rest; one that has just come may be about to hand in its first text, and
+/// is answered.
+#[test]
+fn a_connection_that_has_just_come_is_answered_after_the_request_to_stop() {
+    let (_discovery, endpoint, config, folder) = world();
+    let mut daemon = Daemon::start(&config, &folder);
+    assert_eq!(daemon.hand_in("once", "out", 0), 202);
+    let out = endpoint.next();
+    let (mut new, mut rests) = (daemon.client(), daemon.client());
+    assert_eq!(rests.ask(b"GET /up HTTP/1.1\r\n\r\n").0, 200);
+    // It has its place by now, as it came before the one that was answered.
+    daemon.signal("-TERM");
+    assert!(rests.is_ended());
+    assert_eq!(new.ask(&text("free", "new", 0, "k", b"hello")).0, 202);
+    assert!(new.is_ended(), "and ends with its answer");
+    let visit = endpoint.next();
+    assert_eq!(visit.header("x-request-id"), "new");
+    visit.status(200);
+    out.status(200);
+    assert_eq!(daemon.wait(), Some(0));
+    assert_eq!(daemon.line_with("delivered"), "delivered 2");
+}
+
+/// Sends without end, until the other side ends the connection.
+fn flood(stream: &TcpStream, begin: &[u8], rest: &[u8]) -> Duration {
+    let mut stream = stream;
+    let began = Instant::now();
+    stream.set_write_timeout(Some(PATIENCE)).expect("a time is set");
+    let mut open = stream.write_all(begin).is_ok();
+    while open && began.elapsed() < PATIENCE {
+        open = stream.write_all(rest).is_ok();
+    }
+    began.elapsed()
+}
+
+/// Clients that never stop sending, each in its own way, are ended within seconds; texts of others go on meanwhile.
+#[test]
+fn clients_that_never_stop_sending_are_ended_and_hold_up_nobody() {
+    let (_discovery, endpoint, config, folder) = world();
+    let daemon = Daemon::start(&config, &folder);
+    let head = "GET /up HTTP/1.1\r\n";
+    let floods: [(&str, &str, &str); 7] = [
+        ("a line without an end", "GET /", &"x".repeat(1000)),
+        ("headers without an end", head, "A: b\r\n"),
+        (
+            "a body that is longer than it says",
+            "POST /free HTTP/1.1\r\nContent-Length: 4\r\n\r\n",
+            &"x".repeat(1000),
+        ),
+        (
+            "a body that is too long",
+            "POST /free HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+            &"x".repeat(1000),
+        ),
+        ("chunks", "POST /free HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+        ("empty lines", "", "\r\n\r\n\r\n\r\n"),
+        ("bytes of any kind", "\0", "\u{1}\u{7f}\0\0\0"),
+    ];
+    thread::scope(|scope| {
+        let ended: Vec<_> = floods
+            .iter()
+            .map(|(name, begin, rest)| {
+                let client = daemon.client();
+                scope.spawn(move || (name, flood(&client.stream, begin.as_bytes(), rest.as_bytes())))
+            })
+            .collect();
+        for at in 0..40 {
+            assert_eq!(daemon.hand_in("free", &format!("t{at}"), 0), 202, "{at}");
+            let visit = endpoint.next();
+            assert_eq!(visit.header("x-request-id"), format!("t{at}"));
+            visit.status(200);
+        }
+        for flood in ended {
+            let (name, took) = flood.join().expect("no panic");
+            assert!(took < Duration::from_secs(6), "{name} went on for {took:?}");
+        }
+    });
+    daemon.counts("delivered", 40);
+    assert_eq!(daemon.counter("taken"), 40);
+}
+
+/// A client that asks without end and never reads its answers: it is ended, and costs nobody else anything.
+#[test]
+fn a_client_that_asks_without_end_and_reads_nothing_is_ended() {
+    let (_discovery, endpoint, config, folder) = world();
+    let daemon = Daemon::start(&config, &folder);
+    let client = daemon.client();
+    let took = thread::scope(|scope| {
+        let asks = scope.spawn(|| flood(&client.stream, b"", &b"GET /counters HTTP/1.1\r\n\r\n".repeat(100)));
+        for at in 0..10 {
+            assert_eq!(daemon.hand_in("free", &format!("t{at}"), 0), 202);
+            endpoint.next().status(200);
+        }
+        asks.join().expect("no panic")
+    });
+    assert!(took < Duration::from_secs(10), "{took:?}");
+    daemon.counts("delivered", 10);
+}
+
+/// An endpoint that answers at its own speed: the bytes that come first, and those that come again and again.
+fn trickling(begin: &'static str, rest: &'static str) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut stream = stream;
+                _ = stream.read(&mut [0; 4096]);
+                let mut open = stream.write_all(begin.as_bytes()).is_ok();
+                while open {
+                    thread::sleep(Duration::from_millis(20));
+                    open = stream.write_all(rest.as_bytes()).is_ok();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Answers that break off or never end, from an endpoint and from the platform: a slot is held for no longer than the
+/// rest of an answer may take, what is told first counts, and notices and the list come through once answers are sound.
+#[test]
+fn answers_that_never_end_hold_a_slot_for_a_moment_only() {
+    // how it begins, what follows for ever, the counter that tells how it was taken
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX", "x", "delivered"),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n", "x", "delivered"),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", "delivered"),
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x", "delivered"),
+        ("HTTP/1.1 500 X\r\nContent-Length: 60000\r\n\r\n", "x", "errors"),
+        ("HTTP/1.1 503 X\r\nConnection: close\r\n\r\n", "x", "errors"),
+        ("HTTP/1.1 5", "0", "errors"),
+        ("", "HTTP/1.1 102 X\r\n\r\n", "errors"),
+        ("\r\n", "\r\n", "errors"),
+        ("x", "x", "errors"),
+    ];
+    thread::scope(|scope| {
+        for (begin, rest, counter) in cases {
+            scope.spawn(move || {
+                let discovery = Host::open();
+                let (bad, good) = (trickling(begin, rest), Host::open());
+                let mut first = member("e0", &good, 0, "Ready");
+                first["host_port"] = json!(bad.to_string());
+                let mut config = config(&[first, member("e1", &good, 1, "Ready")], discovery.address);
+                config["settings"]["family-info"]["call-slots"] = json!(2);
+                let folder = Folder::new();
+                let daemon = Daemon::start(&config, &folder);
+                let began = Instant::now();
+                assert_eq!(daemon.hand_in("once", "a", 0), 202);
+                daemon.counts(counter, 1);
+                let took = began.elapsed();
+                assert!(took < Duration::from_millis(2500), "{begin:?} {rest:?}: {took:?}");
+                assert_eq!(daemon.hand_in("once", "b", 1), 202);
+                let visit = good.next();
+                assert_eq!(visit.header("x-request-id"), "b");
+                visit.status(200);
+            });
+        }
+    });
+}
