Tests: SIGKILL behind each point of a shutdown, SIGTERM of either process in a hand-over

Seven points of a stop that can be seen from outside, each followed by a kill and a new process: every text that was taken on ends once, in the order of its key, nothing that goes once only is repeated. Six orders of SIGTERM in a hand-over: whoever is left serves, each text is delivered once.

--- a/crates/sender/tests/sender/edges.rs
+++ b/crates/sender/tests/sender/edges.rs
@@ -15,6 +15,7 @@
 use indigomast_sender::reactor::Session;
 use indigomast_sender::wal::Wal;
 use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -469,3 +470,229 @@
         }
     });
 }
+
+/// Where a stop has come to when the process is killed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum At {
+    Told,
+    /// Connections at rest have ended.
+    Rested,
+    /// A text was taken on after the request to stop.
+    Taken,
+    /// A call that was out is answered.
+    Answered,
+    /// A report is out and has no answer yet, or has it.
+    Reporting,
+    Reported,
+    /// Nothing new goes out any more.
+    Late,
+}
+
+/// SIGKILL behind each point of a shutdown that can be seen: the next process ends every text that was taken on, once, in
+/// the order of its key, and submits none again that may have run and may not be repeated.
+#[test]
+fn a_kill_behind_each_point_of_a_shutdown_keeps_every_promise() {
+    thread::scope(|scope| {
+        for at in [At::Told, At::Rested, At::Taken, At::Answered, At::Reporting, At::Reported, At::Late] {
+            scope.spawn(move || killed(at));
+        }
+    });
+}
+
+fn killed(at: At) {
+    let (discovery, endpoint, mut config, folder) = world();
+    let mut daemon = Daemon::start(&config, &folder);
+    let mut rests = daemon.client();
+    assert_eq!(rests.ask(b"GET /up HTTP/1.1\r\n\r\n").0, 200);
+    let mut taken = BTreeSet::new();
+    let mut hand_in = |daemon: &Daemon, product: &str, id: &str| {
+        let mut client = daemon.client();
+        let raw = text(product, id, 0, "k", b"hello");
+        let status = client.ask(&raw).0;
+        taken.extend((status == 202).then(|| id.to_owned()));
+        status
+    };
+    // Out: one of each kind, and one more of the key behind the first.
+    let mut out = BTreeMap::new();
+    for (product, id) in [("once", "o"), ("marked", "m"), ("free", "f"), ("queue", "q0")] {
+        assert_eq!(hand_in(&daemon, product, id), 202);
+        let visit = endpoint.next();
+        assert_eq!(visit.header("x-request-id"), id);
+        out.insert(id, visit);
+    }
+    assert_eq!(hand_in(&daemon, "queue", "q1"), 202);
+    daemon.signal("-TERM");
+    let mut ended = BTreeMap::<String, &str>::new();
+    let mut held = None;
+    match at {
+        At::Told => {}
+        At::Rested => assert!(rests.is_ended()),
+        At::Taken => {
+            assert!(rests.is_ended());
+            assert_eq!(hand_in(&daemon, "once", "late"), 202);
+        }
+        At::Answered => {
+            assert!(rests.is_ended());
+            out.remove("o").expect("out").status(200);
+            out.remove("q0").expect("out").status(200);
+            daemon.counts("delivered", 2);
+            ended.extend([("o".to_owned(), "delivered"), ("q0".to_owned(), "delivered")]);
+        }
+        At::Reporting | At::Reported => {
+            out.remove("o").expect("out").status(500);
+            let (body, visit) = notice(&discovery);
+            assert!(body.contains("\"o\"") && body.contains("undeliverable"), "{body}");
+            if at == At::Reported {
+                visit.status(204);
+                daemon.counts("reported", 1);
+                ended.insert("o".into(), "reported");
+            } else {
+                held = Some(visit);
+            }
+        }
+        At::Late => {
+            assert!(rests.is_ended());
+            let mut next = 0;
+            while hand_in(&daemon, "once", &format!("late{next}")) == 202 {
+                next += 1;
+                // Some of them are out at the end, and some untried.
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+    }
+    daemon.kill();
+    drop((out, held));
+    // The endpoint's next life, so that nothing of this sender's earlier one is taken for a call of the next.
+    let again = Host::open();
+    config["known"]["members"] = json!([member("e0", &again, 0, "Ready")]);
+    let daemon = Daemon::start(&config, &folder);
+    // What was answered a moment before the kill may not be in the journal: it is in doubt then, and told or repeated as its
+    // product allows, which does no harm.
+    let answered: BTreeSet<String> =
+        ended.iter().filter(|(_, end)| **end == "delivered").map(|(id, _)| id.clone()).collect();
+    let mut order = Vec::new();
+    let by = Instant::now() + PATIENCE;
+    while taken.iter().any(|id| !ended.contains_key(id)) {
+        assert!(Instant::now() < by, "{at:?}: {taken:?} ends as {ended:?}");
+        if let Some(visit) = again.next_within(Duration::from_millis(5)) {
+            let id = visit.header("x-request-id").to_owned();
+            let before = ended.insert(id.clone(), "delivered");
+            assert!(before.is_none() || answered.contains(&id), "{at:?}: {id} comes after its end");
+            order.push(id);
+            visit.status(200);
+        }
+        let Some(visit) = discovery.next_within(Duration::from_millis(5)) else { continue };
+        if visit.request.path == "/reports" {
+            let body = String::from_utf8(visit.request.body.clone()).expect("text");
+            for line in body.lines() {
+                let end: Value = serde_json::from_str(line).expect("JSON");
+                let id = end["id"].as_str().expect("an id").to_owned();
+                let before = ended.insert(id.clone(), "reported");
+                assert!(before.is_none() || answered.contains(&id), "{at:?}: {id} is told after its end");
+                assert!(id == "o" || id.starts_with("late"), "{at:?}: this one may be repeated: {line}");
+            }
+            visit.status(204);
+        }
+    }
+    let keyed: Vec<&String> = order.iter().filter(|id| id.starts_with('q')).collect();
+    assert!(keyed.is_sorted(), "{at:?}: {order:?}");
+    // What came in the first life may have run there, but for what was told otherwise, which is nothing here.
+    let ran: BTreeSet<String> = std::iter::from_fn(|| endpoint.next_within(Duration::ZERO))
+        .map(|visit| visit.header("x-request-id").to_owned())
+        .chain(["o".to_owned()])
+        .collect();
+    let twice = order.iter().find(|id| ran.contains(*id) && (*id == "o" || id.starts_with("late")));
+    assert_eq!(twice, None, "{at:?}: goes once only");
+    drop(daemon);
+}
+
+/// SIGTERM of the one that leaves, of the one that comes, or of both, while the first has a call out and the other waits,
+/// and of the one that has just taken over: whoever is left serves, and each text is delivered once.
+#[test]
+fn a_request_to_stop_in_a_hand_over_loses_nothing() {
+    thread::scope(|scope| {
+        for which in ["old", "new", "both", "both, new first", "owner", "stopped old"] {
+            scope.spawn(move || told_to_stop(which));
+        }
+    });
+}
+
+fn told_to_stop(which: &str) {
+    let (discovery, endpoint) = (Host::open(), Arc::new(Host::open()));
+    let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    let folder = Folder::new();
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let start = || Daemon::sharing(&config, &folder, &socket);
+    let mut old = start();
+    old.line_with("listens on ");
+    assert_eq!(old.hand_in("once", "out", 0), 202);
+    let out = endpoint.next();
+    let mut new = start();
+    old.line_with("another process waits to take over");
+    // Nothing new goes out now, so this one is owed when the first one ends.
+    assert_eq!(old.hand_in("free", "waits", 0), 202);
+    // From now on it answers all that comes, whoever sends it.
+    let (came, ids) = unbounded();
+    let answers = Arc::clone(&endpoint);
+    thread::spawn(move || {
+        while let Some(visit) = answers.next_within(PATIENCE) {
+            _ = came.send(visit.header("x-request-id").to_owned());
+            visit.status(200);
+        }
+    });
+    let mut left = None;
+    match which {
+        "old" => {
+            old.signal("-TERM");
+            out.status(200);
+            assert_eq!(old.wait(), Some(0));
+            new.line_with("listens on ");
+            left = Some(new);
+        }
+        "new" => {
+            new.signal("-TERM");
+            assert_eq!(new.wait(), Some(0));
+            old.line_with("no other process takes over");
+            out.status(200);
+            left = Some(old);
+        }
+        "both" | "both, new first" => {
+            let [first, second] = if which == "both" { [&old, &new] } else { [&new, &old] };
+            first.signal("-TERM");
+            second.signal("-TERM");
+            out.status(200);
+            assert_eq!([old.wait(), new.wait()], [Some(0), Some(0)]);
+        }
+        "owner" => {
+            out.status(200);
+            new.line_with("listens on ");
+            new.signal("-TERM");
+            assert_eq!([old.wait(), new.wait()], [Some(0), Some(0)]);
+        }
+        _ => {
+            old.signal("-STOP");
+            old.signal("-TERM");
+            out.status(200);
+            new.line_with("its end is waited for");
+            old.signal("-CONT");
+            assert_eq!(old.wait(), Some(0));
+            new.line_with("listens on ");
+            left = Some(new);
+        }
+    }
+    let last = left.unwrap_or_else(|| {
+        let last = start();
+        last.line_with("listens on ");
+        last
+    });
+    assert_eq!(last.hand_in("once", "after", 0), 202, "{which}");
+    let mut came: Vec<String> = Vec::new();
+    while !(came.contains(&"waits".to_owned()) && came.contains(&"after".to_owned())) {
+        came.push(ids.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("{which}: {came:?}: {e}")));
+    }
+    // Each has its answer, so whatever would still be sent twice has been.
+    assert_eq!(last.hand_in("once", "last", 0), 202, "{which}");
+    assert_eq!(ids.recv_timeout(PATIENCE).as_deref(), Ok("last"), "{which}: {came:?}");
+    came.sort();
+    assert_eq!(came, ["after", "waits"], "{which}");
+}
