--- a/crates/sender/tests/sender/edges.rs
+++ b/crates/sender/tests/sender/edges.rs
@@ -696,3 +696,39 @@
     came.sort();
     assert_eq!(came, ["after", "waits"], "{which}");
 }
+
+/// The platform's answers break off or go on for ever: the list is asked for again in time, and what a report's answer says
+/// first counts, so that no report waits behind it.
+#[test]
+fn answers_of_the_platform_that_never_end_hold_up_neither_list_nor_reports() {
+    let (discovery, endpoint, mut config, folder) = world();
+    config["settings"]["ceilings"]["max-attempts"] = json!(1);
+    let daemon = Daemon::start(&config, &folder);
+    let asked = |by: Duration| loop {
+        let visit = discovery.next_within(by).expect("it asks again");
+        if visit.request.path.starts_with("/discovery") {
+            return visit;
+        }
+    };
+    let watch = asked(PATIENCE);
+    let since = Instant::now();
+    watch.answer("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{\"revision\":42,");
+    for at in 0..3 {
+        assert_eq!(daemon.hand_in("once", &format!("t{at}"), 0), 202);
+        endpoint.next().status(500);
+        let (body, visit) = notice(&discovery);
+        assert!(body.contains(&format!("t{at}")), "{body}");
+        visit.answer(format!("HTTP/1.1 204 X\r\nContent-Length: 9999\r\n\r\n{}", "x".repeat(100)));
+        daemon.counts("reported", at + 1);
+    }
+    // Where a hold and its slack are over, which is what a watch may take, it is asked anew.
+    let watch = asked(Duration::from_millis(6500).saturating_sub(since.elapsed()));
+    let list = json!({"revision": 43, "complete": true, "members": [member("e7", &endpoint, 7, "Ready")]});
+    watch.answer(ok_json(&list.to_string()));
+    daemon.counts("lists", 1);
+    assert_eq!(daemon.hand_in("free", "there", 7), 202);
+    let visit = endpoint.next();
+    assert_eq!(visit.header("x-request-id"), "there");
+    visit.status(200);
+    daemon.counts("delivered", 1);
+}
