Texts in the mailbox of a decider that has ended are turned away at once

Looked at: the wait for the last answers ran out with 1 to 4 requests in hand; given a second they took 350 ms, which is how long a text waits for the decider. A bounded channel keeps its messages when its receiver goes, as long as senders are there, so whoever had handed in a text in that moment waited for a reply that nobody could give. Ruled out: a scheduler that is late (others took 0 to 13 ms), the pause before a 404, sessions left in the reactor (none had bytes).

The sender keeps the other end of the mailbox and drops what lies there. The pause before an answer to a bad request ends with the sender.

--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -645,8 +645,10 @@
     /// A client that sends the same again as soon as it is turned away would take what time the sender has; its
     /// own thread waits first. The usual ones are told at once when to come again.
     fn slow_down(&self, status: u16) {
-        if status != 503 {
-            thread::sleep(self.limits.bad_pause);
+        let by = Instant::now() + self.limits.bad_pause;
+        // Not beyond the end of this sender, which waits for the last answers.
+        while status != 503 && !self.is_closed() && Instant::now() < by {
+            thread::sleep(self.limits.bad_pause / 8);
         }
     }
 
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -69,6 +69,8 @@
     stopper: Stopper,
     reloader: Reloader,
     ended: Receiver<threads::Ended>,
+    /// The decider's mailbox, for what nobody has read when it ends.
+    unread: Receiver<decider::Word>,
     /// Whether the socket for clients is shared with other processes, one of which may take over.
     shared: bool,
     /// Callers at the second address are served as long as this is there.
@@ -189,6 +191,7 @@
         let floor = floor.map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
         let ready = Arc::<AtomicBool>::default();
         let (decider, words) = bounded(limits.mailbox);
+        let unread = words.clone();
         let (over, ended) = bounded(8);
         let callers = match control {
             Some(at) => Some(TcpListener::bind(at).map_err(|e| format!("control: {at}: {e}"))?),
@@ -336,6 +339,7 @@
             stopper,
             reloader,
             ended,
+            unread,
             shared,
             _control: control,
         })
@@ -362,7 +366,10 @@
                     intake.close((!self.shared).then_some(self.address));
                     let others = || self.ended.recv_timeout(intake.limits.request_time).ok();
                     while others().is_some_and(|ended| ended.name != "intake") {}
-                    intake.reactor.finish(intake.limits.last_answers);
+                    // What lies in a mailbox outlasts its reader as long as somebody may write there, and so does the wait
+                    // of whoever handed in a text.
+                    let turn_away = || self.unread.try_iter().for_each(drop);
+                    intake.reactor.finish(intake.limits.last_answers, turn_away);
                     return Ok(());
                 }
                 threads::Ended { name, .. } if !asked => return Err(format!("{name} ended unasked")),
--- a/crates/sender/src/reactor.rs
+++ b/crates/sender/src/reactor.rs
@@ -287,10 +287,12 @@
         self.back(intake, session, at);
     }
 
-    /// Waits until every request that was read has its answer, as long as that may take.
-    pub fn finish(&self, within: Duration) {
+    /// Waits until every request that was read has its answer, as long as that may take; meanwhile `turn_away` sees to those
+    /// that wait for somebody who is no longer there.
+    pub fn finish(&self, within: Duration, turn_away: impl Fn()) {
         let by = Instant::now() + within;
         while self.served.load(Ordering::SeqCst) > 0 && Instant::now() < by {
+            turn_away();
             thread::sleep(Duration::from_millis(1));
         }
     }
--- a/crates/sender/tests/sender/edges.rs
+++ b/crates/sender/tests/sender/edges.rs
@@ -185,7 +185,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Saw {
     Status(u16),
-    /// Ended with bytes unread: the request was not looked at, and may be sent once more.
+    /// Ended before it was read: the request was not looked at, and may be sent once more.
     Reset,
     /// Read, and ended without a word.
     Silence,
@@ -199,7 +199,14 @@
     let mut come = 0;
     loop {
         match stream.read(&mut head[come..]) {
-            Ok(0) => return Saw::Silence,
+            // What comes behind an end is answered with a reset, a moment later, so that was not read either.
+            Ok(0) => {
+                let reset = (0..50).any(|_| {
+                    thread::sleep(Duration::from_millis(1));
+                    matches!(stream.take_error(), Ok(Some(_)))
+                });
+                return if reset { Saw::Reset } else { Saw::Silence };
+            }
             Ok(count) => come += count,
             Err(e) if e.kind() == ErrorKind::ConnectionReset => return Saw::Reset,
             Err(e) => panic!("neither answered nor ended: {e}"),
