--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -69,6 +69,8 @@
     stopper: Stopper,
     reloader: Reloader,
     ended: Receiver<threads::Ended>,
+    /// The decider's mailbox, for what nobody has read when it ends.
+    unread: Receiver<decider::Word>,
     /// Whether the socket for clients is shared with other processes, one of which may take over.
     shared: bool,
     /// Callers at the second address are served as long as this is there.
@@ -90,7 +92,7 @@
         if !self.stopping.swap(true, Ordering::Relaxed) {
             self.ready.store(false, Ordering::Relaxed);
             _ = self.decider.send(decider::Word::Stop);
-            self.intake.clients.shut_idle();
+            self.intake.clients.shut_rested();
         }
     }
 }
@@ -189,6 +191,7 @@
         let floor = floor.map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
         let ready = Arc::<AtomicBool>::default();
         let (decider, words) = bounded(limits.mailbox);
+        let unread = words.clone();
         let (over, ended) = bounded(8);
         let callers = match control {
             Some(at) => Some(TcpListener::bind(at).map_err(|e| format!("control: {at}: {e}"))?),
@@ -336,6 +339,7 @@
             stopper,
             reloader,
             ended,
+            unread,
             shared,
             _control: control,
         })
@@ -362,6 +366,10 @@
                     intake.close((!self.shared).then_some(self.address));
                     let others = || self.ended.recv_timeout(intake.limits.request_time).ok();
                     while others().is_some_and(|ended| ended.name != "intake") {}
+                    // What lies in a mailbox outlasts its reader as long as somebody may write there, and so does the wait
+                    // of whoever handed in a text.
+                    let turn_away = || self.unread.try_iter().for_each(drop);
+                    intake.reactor.finish(intake.limits.last_answers, turn_away);
                     return Ok(());
                 }
                 threads::Ended { name, .. } if !asked => return Err(format!("{name} ended unasked")),
@@ -396,8 +404,9 @@
             return Ok(wal);
         }
         if step == Some(Move::StandBy) {
-            log!("the process before doesn't let go of the journal; its end is waited for");
+            // Before it is said: whoever reads it asks.
             ready.store(true, Ordering::Relaxed);
+            log!("the process before doesn't let go of the journal; its end is waited for");
         }
         if told() {
             return Err("told to stop while it waited for the process before".into());
