Descriptors are dealt out of those the process may open, not only of those granted

Test: few_descriptors.rs, on sockets: 120 clients that connect, ask or begin a request and stay, who come again as soon as they are ended; discovery accepts connections and ends them for 4 s; meanwhile 60 texts of 20 KB and one in doubt. With 64 descriptors granted and 64 there it held before: the list and the notice come within 2 s of the return. With 400 granted and 64 there no text was taken on for 20 s: each that was accepted took the last descriptor and a pause.

Change: Config takes the lesser of limits.sockets and the soft limit of open files, so that the shares promise nothing that isn't there.

a_sender_that_runs_out_of_descriptors_ends_every_text_that_it_took_on forced its shortage by a lower limit at the start, which is none any more; it now lowers the limit of the running process to the same 48. Nothing else of it changed.

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -6,6 +6,7 @@
 use crate::notices::Reporter;
 use crate::versions;
 use indigomast_site::{BootInfo, Complaint, Names, read};
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -201,6 +202,13 @@
     }
 }
 
+/// How many this process may have open, whatever it was granted. Shares of more than there are would promise to the list, the
+/// notices and the log what clients have taken.
+fn descriptors() -> usize {
+    let most = getrlimit(Resource::Nofile).current;
+    most.and_then(|most| usize::try_from(most).ok()).unwrap_or(usize::MAX)
+}
+
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -246,7 +254,8 @@
         let control = control.or(file.control);
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?;
         let site = Site::of(file.settings).map_err(|e| format!("settings.{e}"))?;
-        let grant = Grant { callers: if control.is_some() { CALLERS } else { 0 }, ..file.limits };
+        let callers = if control.is_some() { CALLERS } else { 0 };
+        let grant = Grant { callers, sockets: file.limits.sockets.min(descriptors()), ..file.limits };
         let limits = site.limits(grant)?;
         let limits = limits.with_clients(file.clients).map_err(|e| format!("clients.{e}"))?;
         let limits = limits.with_journal(file.journal).map_err(|e| format!("journal.{e}"))?;
--- a/crates/sender/tests/sender/admission.rs
+++ b/crates/sender/tests/sender/admission.rs
@@ -233,12 +233,13 @@
     assert!(daemon.counter("connections_turned_away_address") >= 200);
 }
 
-/// Fewer descriptors than the configuration says: running out is an ordinary state, and no fault of the gateways.
+/// Fewer descriptors than the sender found at its start: running out is an ordinary state, and no fault of the gateways.
 #[test]
 fn a_sender_that_runs_out_of_descriptors_ends_every_text_that_it_took_on() {
     let (endpoint, discovery, mut config, folder) = world();
     config["limits"]["sockets"] = json!(400);
-    let daemon = Daemon::with_descriptors(&config, &folder, 48);
+    let daemon = Daemon::start(&config, &folder);
+    daemon.allow_descriptors(48);
     // Notices are answered, watches left hanging.
     thread::spawn(move || {
         let mut watches = Vec::new();
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -4,7 +4,7 @@
 use indigomast_sender::http::{Request, take_request};
 use indigomast_sender::limits::{Grant, Limits};
 use indigomast_sender::ring::Ring;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -267,6 +267,17 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// From now on it may open no more than so many descriptors, whatever it found at its start.
+    pub fn allow_descriptors(&self, most: u64) {
+        let limit = Rlimit { current: Some(most), maximum: Some(most) };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit).expect("it is our child");
+    }
+
+    /// How many descriptors it has open.
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// Stops and resumes it so many times, and what that took of processor time each.
     pub fn cost_of_stops(&self, stops: u32) -> Duration {
         let pid = Pid::from_child(&self.child);
@@ -369,6 +380,12 @@
         Client { stream, ring: Ring::default() }
     }
 
+    /// None where no connection comes about soon.
+    pub fn try_at(address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
+        Some(Client { stream, ring: Ring::default() })
+    }
+
     pub fn ask(&mut self, raw: &[u8]) -> (u16, String) {
         self.stream.write_all(raw).expect("the connection is open");
         self.answer()
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -2,6 +2,7 @@
 mod common;
 mod crossings;
 mod discovery;
+mod few_descriptors;
 mod forms;
 mod handover;
 mod kills;
