Settings taken over are counted once their revision is told

Seen: a_sender_tells_what_it_is_and_how_it_fares failed once in a full run at a load of 33: conf_loaded was 1 and /ops/version still told of the file before. The decider counted before the reload's own thread noted the revision. Whoever waits for the count asks for what goes with it, so it comes last. The test is unchanged; with the mend it passed in one run of operations.rs, the race itself was not forced.

--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -637,7 +637,6 @@
         self.revision = None;
         self.site = Arc::new(site);
         self.in_force.put(Arc::clone(&self.site));
-        self.figures.loaded.add(1);
         _ = reply.try_send(Ok(()));
     }
 
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -140,7 +140,9 @@
         // Once it is in the mailbox it is taken over, however late.
         answer.recv().map_err(|_| unheard)??;
         *keys = now;
+        // Counted last: whoever waits for the count may ask for the revision.
         self.figures.is_at(revision);
+        self.figures.loaded.add(1);
         if let (Some(platform), Outside::Platform(discovery)) = (&self.platform, &outside) {
             platform.moves(*discovery);
         }
