--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -244,7 +244,9 @@
         let (submits, longest_name) = (grant.submits.max(1), grant.longest_name);
         let log_reserve = crate::wal::reserve(submits, longest_name);
         // The rest is for the lock, the manifests, and what the platform counts of each file beyond its end.
-        let files = disk / 16 * 15;
+        // All of it is read at a start, so there is no more than twice what texts may take: room that a large disk would have
+        // beside that saves a little moving of texts, and costs every restart.
+        let files = (disk / 16 * 15).min(memory / 2);
         // A small disk has room for short texts only.
         let beside = crate::wal::longest_payload(0, name, longest_name, longest_name) + log_reserve as usize;
         let body =
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -9,5 +9,6 @@
 mod operations;
 mod owed;
 mod parts;
+mod readiness;
 mod samples;
 mod sockets;
