A reload takes over the times of connections and the turns in which the list is asked for

Need: connect-timeout-ms and keepalive-ms of a changed file waited for the next start, so a line was kept for longer than the new settings say, and a call on it met an endpoint that had closed it: a doubt (docs/crossings.md, open). Read beside it: must-ask-in-ms, group-size and ordinal waited as well, so the list was asked for as seldom as the old settings allow.

Change: peers look at the settings in force at each connect, and at each call that would go on a line at rest; the list's schedule is made anew at a reload that changes a round or this sender's place in it. Nothing is decided elsewhere than before.

Left, with its reason in ROADMAP: three strikes for a connection cut off by a text's own time.

--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -243,7 +243,6 @@
         let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
         let table = decider::settle(&mut wal, &mut site, &figures);
         let (limits, in_force) = (Arc::new(limits), Arc::new(InForce::new(site)));
-        let site = in_force.get();
         let (list, asks) = bounded(limits.mailbox);
         let (notices, inbox) = bounded(limits.texts);
         let threadless = |e: std::io::Error| format!("no thread: {e}");
@@ -256,7 +255,7 @@
                 let there = Arc::clone(platform.insert(Arc::new(Platform::at(discovery))));
                 let actor = list::List {
                     platform: Arc::clone(&there),
-                    site: Arc::clone(&site),
+                    site: Arc::clone(&in_force),
                     limits: Arc::clone(&limits),
                     revision: match &handover_state {
                         Some(handover_state) => handover_state.revision,
@@ -284,7 +283,7 @@
         threads::actor("notices", stack, &over, move || actor.run(inbox)).map_err(threadless)?;
 
         let budget = Budget::new(limits.descriptors, limits.shares);
-        let trunk = peer::Trunk::new(&limits, &counters, &figures, &decider, &site, &budget);
+        let trunk = peer::Trunk::new(&limits, &counters, &figures, &decider, &in_force, &budget);
         let intake = intake::Intake::new(
             clock,
             Arc::clone(&limits),
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -1,7 +1,7 @@
 //! The list of endpoints: what a source of it is, and the platform's discovery, which is asked for it or watched.
 
 use crate::clock::duration;
-use crate::config::Site;
+use crate::config::{InForce, Site};
 use crate::counters::Counters;
 use crate::decider::Word;
 use crate::http;
@@ -145,12 +145,11 @@
 /// What the actor and its watcher share.
 struct Desk {
     platform: Arc<Platform>,
-    site: Arc<Site>,
+    site: Arc<InForce>,
     limits: Arc<Limits>,
     teller: Teller,
     running: Mutex<Running>,
     schedule: Mutex<PollSchedule>,
-    term: Duration,
 }
 
 /// What one watch leaves to the next, or must not: behind one lock, so that no watch meets half of a change.
@@ -185,7 +184,7 @@
 
 pub struct List {
     pub platform: Arc<Platform>,
-    pub site: Arc<Site>,
+    pub site: Arc<InForce>,
     pub limits: Arc<Limits>,
     /// Of the list that is known; none where discovery may be another one now.
     pub revision: Option<u64>,
@@ -195,14 +194,11 @@
     /// Works through what is asked until nobody can ask any more.
     fn run(self: Box<Self>, asks: Receiver<Ask>, teller: Teller) {
         let List { platform, site, limits, revision } = *self;
-        let unasked = !site.info.decode().must_subscribe;
+        let unasked = !site.get().info.decode().must_subscribe;
         let revision = revision.map(|revision| (platform.address(), revision));
         let running = Mutex::new(Running { number: 0, stream: None, revision });
-        let (term, info) = (duration(site.info.decode().must_ask_in), &site.info);
-        let (number, senders) = (info.ordinal, info.group_size);
-        let schedule = PollSchedule::new(Instant::now(), number, senders, term);
-        let schedule = Mutex::new(schedule);
-        let desk = Desk { platform, site, limits, teller, running, schedule, term };
+        let schedule = Mutex::new(schedule(&site.get()).0);
+        let desk = Desk { platform, site, limits, teller, running, schedule };
         let desk = Arc::new(desk);
         if unasked {
             desk.watch(true);
@@ -211,7 +207,7 @@
             match ask {
                 Ask::Watch(on) => desk.watch(on),
                 Ask::Renew => {
-                    desk.schedule().renewed(Instant::now(), desk.term);
+                    desk.renew();
                     desk.watch_anew();
                 }
                 Ask::Read => match desk.ask(&mut None, 0, None) {
@@ -227,6 +223,12 @@
     }
 }
 
+/// When a sender of this site asks, from now on, and within which time it has to.
+fn schedule(site: &Site) -> (PollSchedule, Duration) {
+    let (term, info) = (duration(site.info.decode().must_ask_in), &site.info);
+    (PollSchedule::new(Instant::now(), info.ordinal, info.group_size, term), term)
+}
+
 impl Desk {
     /// Under the lock on what runs: a watch that is replaced meanwhile has told before, or tells no more.
     fn tell(&self, running: &mut Running, address: SocketAddr, listing: Listing) {
@@ -234,6 +236,16 @@
         self.teller.tell(Some(listing));
     }
 
+    /// By the settings in force.
+    fn renew(&self) {
+        let (fresh, term) = schedule(&self.site.get());
+        let mut schedule = self.schedule();
+        if !schedule.goes_round_with(&fresh) {
+            *schedule = fresh;
+        }
+        schedule.renewed(Instant::now(), term);
+    }
+
     fn schedule(&self) -> std::sync::MutexGuard<'_, PollSchedule> {
         self.schedule.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -385,7 +397,7 @@
 
     fn read(&self, body: &[u8], whole: bool) -> Result<Listing, Complaint> {
         let text = std::str::from_utf8(body).map_err(|e| e.to_string())?;
-        let listing = Listing::of(read(text)?, &self.site, &self.limits)?;
+        let listing = Listing::of(read(text)?, &self.site.get(), &self.limits)?;
         if whole && !listing.complete {
             return Err("changes came where the whole list was asked for".into());
         }
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -4,7 +4,7 @@
 //! reported, and a connection that broke at rest is a reset like any other.
 
 use crate::clock::span;
-use crate::config::Site;
+use crate::config::InForce;
 use crate::counters::Counters;
 use crate::decider::Word;
 use crate::figures::Figures;
@@ -130,8 +130,7 @@
     pub decider: Mailbox,
     pub budget: Budget,
     pub resting: Resting,
-    pub connect_time: Duration,
-    pub keeps_alive: Duration,
+    pub site: Arc<InForce>,
 }
 
 /// By which a call that is out can be revoked from outside.
@@ -166,10 +165,9 @@
     pub fn run(self, asks: Receiver<Ask>) {
         let mut lines: BTreeMap<usize, Line> = BTreeMap::new();
         let (mut next, mut retired) = (0, false);
-        let rest = self.trunk.keeps_alive.saturating_sub(self.trunk.limits.link_margin);
         loop {
             // A connection at rest is given up by dropping the way to it.
-            let now = Instant::now();
+            let (now, rest) = (Instant::now(), self.trunk.rest());
             self.keep(&mut lines, |_, since| !retired && now < since + rest);
             if retired && lines.is_empty() {
                 return;
@@ -181,6 +179,9 @@
             };
             match ask {
                 Ok(Ask::Call(call)) => {
+                    // Settings may say another time by now than when this began to wait.
+                    let (now, rest) = (Instant::now(), self.trunk.rest());
+                    self.keep(&mut lines, |_, since| now < since + rest);
                     // The one used last is the least likely to have been closed at the other end.
                     let resting = lines.iter().filter(|(_, line)| line.rests_since.is_some());
                     let last = resting.max_by_key(|(_, line)| line.rests_since).map(|(number, _)| *number);
@@ -325,7 +326,7 @@
         counters: &Arc<Counters>,
         figures: &Arc<Figures>,
         decider: &Mailbox,
-        site: &Site,
+        site: &Arc<InForce>,
         budget: &Budget,
     ) -> Trunk {
         Trunk {
@@ -335,11 +336,15 @@
             decider: decider.clone(),
             budget: budget.clone(),
             resting: Resting::default(),
-            connect_time: site.connect_time,
-            keeps_alive: site.keeps_alive,
+            site: Arc::clone(site),
         }
     }
 
+    /// How long a connection is kept at rest by the settings in force.
+    fn rest(&self) -> Duration {
+        self.site.get().keeps_alive.saturating_sub(self.limits.link_margin)
+    }
+
     fn tell(&self, endpoint: EndpointId, sent: Instant, text: TextId, submit: usize, word: Said) {
         let counters = &self.counters;
         let counter = match word.verdict {
@@ -432,7 +437,7 @@
             let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
             let left = latest.saturating_duration_since(Instant::now());
             log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
-            let opened = Link::open(self.address, left.min(self.trunk.connect_time));
+            let opened = Link::open(self.address, left.min(self.trunk.site.get().connect_time));
             self.link = Some(opened.map_err(|e| self.unopened(&e))?);
         }
         let now = Instant::now();
--- a/crates/sender/src/poll_schedule.rs
+++ b/crates/sender/src/poll_schedule.rs
@@ -84,6 +84,11 @@
         self.watches
     }
 
+    /// Whether the other has the same place in a round of the same length.
+    pub fn goes_round_with(&self, other: &PollSchedule) -> bool {
+        (self.round, self.place, self.watches) == (other.round, other.place, other.watches)
+    }
+
     /// How long to wait for this sender's turn.
     pub fn wait(&self, now: Instant) -> Duration {
         self.next.saturating_duration_since(now)
--- a/crates/sender/tests/sender/crossings.rs
+++ b/crates/sender/tests/sender/crossings.rs
@@ -4,7 +4,7 @@
 use crate::parts::{call, part, peer, trunk, verdict};
 use crossbeam_channel::{bounded, unbounded};
 use indigomast::api::{Condition, KindId, TextId, Verdict, ZoneId};
-use indigomast_sender::config::Config;
+use indigomast_sender::config::{Config, InForce};
 use indigomast_sender::decider::Word;
 use indigomast_sender::list::{self, List, Listed, Source, Teller};
 use indigomast_sender::peer::Ask;
@@ -141,7 +141,7 @@
     let platform = Arc::new(Platform::at(before.address));
     let list = List {
         platform: Arc::clone(&platform),
-        site: Arc::new(site),
+        site: Arc::new(InForce::new(site)),
         limits: Arc::new(limits),
         revision: Some(41),
     };
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -10,5 +10,6 @@
 mod owed;
 mod parts;
 mod readiness;
+mod reload;
 mod samples;
 mod sockets;
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -213,7 +213,7 @@
         &Arc::default(),
         &Arc::default(),
         &decider,
-        &site,
+        &Arc::new(InForce::new(site)),
         &budget(&limits),
     );
     let (own, asks) = bounded(8);
@@ -341,11 +341,11 @@
     let Config { limits, mut site, known, .. } = Config::parse(&file, folder.state()).expect("well-formed");
     let (limits, counters, figures) = (Arc::new(limits), Arc::<Counters>::default(), Arc::default());
     let ((decider, words), (list, _), (notices, reports)) = (unbounded(), unbounded(), unbounded());
-    let trunk = Arc::new(Trunk::new(&limits, &counters, &figures, &decider, &site, &budget(&limits)));
     let clock = Clock::start();
     let mut wal = Wal::open(&folder.state(), &limits, clock.now()).expect("opens");
     let table = settle(&mut wal, &mut site, &figures);
     let site = Arc::new(InForce::new(site));
+    let trunk = Arc::new(Trunk::new(&limits, &counters, &figures, &decider, &site, &budget(&limits)));
     let (counted, granted, handover_state, handover) =
         (Arc::clone(&counters), Arc::clone(&limits), None, None);
     #[rustfmt::skip]
