--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -3,6 +3,7 @@
 mod crossings;
 mod discovery;
 mod few_descriptors;
+mod edges;
 mod forms;
 mod handover;
 mod kills;
