Scale: hollow senders by size: destinations, outages, owed, senders, changes, rollout

The fleet that is designed for is fifty times today's, and no figure says what a role costs there. A crate of its own runs the real state machines without sockets over sizes of several orders, counts memory by an allocator that counts (in a program of its own, so that a sender doesn't pay for it) and draws a line through the points. indigomast lab scale starts it.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -76,6 +76,23 @@
     },
     /// A table of service by scenario and policy, of several files of runs
     Table { runs: Vec<PathBuf> },
+    /// What a role costs by its size: points, a line through them, and how far it reaches
+    Scale {
+        /// destinations, outages, owed, senders, changes, settings or rollout; all where none is named
+        #[arg(long)]
+        role: Option<String>,
+        /// The greatest size; the role's own where none is said
+        #[arg(long)]
+        to: Option<f64>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Real daemons of this program instead of hollow senders: destinations, owed or changes
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+        /// Write points, fits and extrapolations to this file
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
 }
 
 fn read(path: &Path) -> Result<Runs, Failure> {
@@ -296,6 +313,7 @@
             Ok(())
         }
         Command::Report { runs, html } => write(&html, &report::html(&read(&runs)?)?),
+        Command::Scale { role, to, seed, daemon, json } => scale(role, to, seed, daemon, json),
         Command::Table { runs } => {
             let mut all = Runs::default();
             for path in &runs {
@@ -317,3 +335,28 @@
         }
     }
 }
+
+/// The program that measures stands beside this one: it counts every allocation, which a sender must not pay for.
+fn scale(
+    role: Option<String>,
+    to: Option<f64>,
+    seed: u64,
+    daemon: Option<PathBuf>,
+    json: Option<PathBuf>,
+) -> Done {
+    let own = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
+    let program = own.with_file_name("indigomast-scale");
+    let mut command = std::process::Command::new(&program);
+    command.arg("--seed").arg(seed.to_string());
+    role.iter().for_each(|role| _ = command.arg("--role").arg(role));
+    to.iter().for_each(|to| _ = command.arg("--to").arg(to.to_string()));
+    daemon.iter().for_each(|daemon| _ = command.arg("--daemon").arg(daemon));
+    json.iter().for_each(|json| _ = command.arg("--json").arg(json));
+    let status = command.status().map_err(|e| format!("{}: {e}", program.display()))?;
+    match status.code() {
+        Some(0) => Ok(()),
+        // A signal that came from the keyboard reached both.
+        None | Some(130) => Err(Failure::Interrupted),
+        Some(_) => Err(Failure::Complaint(format!("{} ended: {status}", program.display()))),
+    }
+}
--- /dev/null
+++ b/crates/scale/src/real.rs
@@ -0,0 +1,1 @@
+//! The same roles of real daemons.
