--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -21,6 +21,47 @@
     pub most: f64,
 }
 
+/// `value` grows with this power of the size, over the greater half of the sizes: what is no line, as where each of many is
+/// compared with all others.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Power {
+    pub order: f64,
+    /// At size 1, were it so from there on.
+    pub factor: f64,
+    /// As of a line.
+    pub spread: f64,
+    pub most: f64,
+}
+
+impl Power {
+    /// None of fewer than three points that are above zero.
+    pub fn of(points: &[(f64, f64)]) -> Option<Power> {
+        let mut used: Vec<(f64, f64)> = points.iter().copied().filter(|point| point.1 > 0.0).collect();
+        used.drain(..(used.len() / 2).min(used.len().saturating_sub(3)));
+        if used.len() < 3 {
+            return None;
+        }
+        let count = used.len() as f64;
+        let logs = || used.iter().map(|(x, y)| (x.ln(), y.ln()));
+        let (x, y) = (logs().map(|at| at.0).sum::<f64>() / count, logs().map(|at| at.1).sum::<f64>() / count);
+        let across: f64 = logs().map(|at| (at.0 - x).powi(2)).sum();
+        if across <= 0.0 {
+            return None;
+        }
+        let order = logs().map(|at| (at.0 - x) * (at.1 - y)).sum::<f64>() / across;
+        let factor = (y - order * x).exp();
+        let part = |(x, y): &(f64, f64)| y / (factor * x.powf(order)) - 1.0;
+        let squares: f64 = used.iter().map(|point| part(point).powi(2)).sum();
+        let most = used.iter().map(|(x, _)| *x).fold(0.0, f64::max);
+        Some(Power { order, factor, spread: (squares / count).sqrt(), most })
+    }
+
+    pub fn reach(&self, size: f64) -> Reach {
+        let value = self.factor * size.powf(self.order);
+        Reach { size, value, plus_minus: value * self.spread, beyond: size / self.most }
+    }
+}
+
 /// A value beyond what ran.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Reach {
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -1,6 +1,6 @@
 //! Runs a role over its sizes, fits its figures and carries them on.
 
-use crate::fit::{Fit, Reach, sizes};
+use crate::fit::{Fit, Power, Reach, sizes};
 use crate::meter::{Meter, room};
 use crate::{Reading, Role, Sort};
 use serde::{Deserialize, Serialize};
@@ -25,6 +25,9 @@
     pub sort: Sort,
     /// None where there are too few points for a line, or they are 0.
     pub fit: Option<Fit>,
+    /// Where the line misses the greatest size that ran: the power that goes through the greater ones, by which it is
+    /// then carried on.
+    pub power: Option<Power>,
     pub reach: Option<Reach>,
 }
 
@@ -77,8 +80,13 @@
             let values: Vec<(f64, f64)> =
                 points.iter().filter_map(|point| Some((point.size, value(point)?))).collect();
             let fit = if reading.sort == Sort::Each { Fit::level(&values) } else { Fit::of(&values) };
-            let reach = fit.as_ref().map(|fit| fit.reach(role.goal()));
-            Line { name: reading.name, sort: reading.sort, fit, reach }
+            let misses = fit.as_ref().is_some_and(|fit| fit.off.contains(&fit.most));
+            let power = if misses { Power::of(&values) } else { None };
+            let reach = match (&power, &fit) {
+                (Some(power), _) => Some(power.reach(role.goal())),
+                (None, fit) => fit.as_ref().map(|fit| fit.reach(role.goal())),
+            };
+            Line { name: reading.name, sort: reading.sort, fit, power, reach }
         });
         Ok(Report {
             role: role.name().to_owned(),
@@ -108,7 +116,7 @@
         }
         for line in &self.lines {
             let Some((fit, reach)) = line.fit.as_ref().zip(line.reach) else {
-                _ = writeln!(text, "{:<34} no line: too few points above 0", line.name);
+                _ = writeln!(text, "{:<46} no line: too few points above 0", line.name);
                 continue;
             };
             let (name, spread, beyond) = (&line.name, fit.spread * 100.0, reach.beyond);
@@ -117,11 +125,19 @@
             let off: Vec<String> = fit.off.iter().map(f64::to_string).collect();
             let off =
                 if off.is_empty() { String::new() } else { format!("; off the line: {}", off.join(", ")) };
+            let form = match line.power {
+                Some(power) => {
+                    let (order, spread) = (power.order, power.spread * 100.0);
+                    format!("no line: grows with the power {order:.2} of the size, spread {spread:.0} %")
+                }
+                None => {
+                    let (fixed, slope) = (figure(fit.fixed, line.sort), figure(fit.slope, line.sort));
+                    format!("{fixed} + {slope} a unit, spread {spread:.0} %")
+                }
+            };
             _ = writeln!(
                 text,
-                "{name:<34} {} + {} a unit, spread {spread:.0} %, {} points to {}: at {} {} +- {} ({how_far}){off}",
-                figure(fit.fixed, line.sort),
-                figure(fit.slope, line.sort),
+                "{name:<46} {form}, {} points to {}: at {:.0} {} +- {} ({how_far}){off}",
                 fit.points,
                 fit.most,
                 reach.size,
--- a/crates/scale/src/roles/owed.rs
+++ b/crates/scale/src/roles/owed.rs
@@ -60,7 +60,6 @@
         let journal = indigomast_journal::Settings::within(1 << 40, limits.journal.longest);
         let limits = Limits { journal, ..limits };
 
-        let start = meter.mark();
         let mut wal =
             Wal::on(Sink::default(), &limits, Moment::from_millis(0.0)).map_err(|e| e.to_string())?;
         let empty = meter.mark();
--- a/crates/scale/src/roles/rollout.rs
+++ b/crates/scale/src/roles/rollout.rs
@@ -7,6 +7,7 @@
 use indigomast_rollout::agent::{Act, Agent, Promised, Which};
 use indigomast_rollout::controller::{Controller, Input, Output};
 use indigomast_rollout::plan::{Plan, Unheard};
+use indigomast_rollout::steering::Event;
 use indigomast_rollout::wire::{Answer, Change, Say, Secret, Told, Way};
 use std::fmt::Write;
 
@@ -40,7 +41,7 @@
 
     fn assumes(&self) -> &'static [&'static str] {
         &[
-            "one controller; stages of one sender and of all, named one by one; a hundredth may be away at once",
+            "one controller; one stage, its senders named one by one; a hundredth may be away at once",
             "agents answer within a step of 100 ms and carry out an order in a second; no counts are compared",
         ]
     }
@@ -66,7 +67,8 @@
                 (agent, None)
             })
             .collect();
-        let (mut inputs, mut bytes, mut lines, mut orders) = (Vec::new(), 0, 0, 0);
+        let mut inputs = vec![Input::ByHand(Event::Begin)];
+        let (mut bytes, mut lines, mut orders) = (0, 0, 0);
         let (mut steered, mut sealed, mut obeyed) = (0.0, 0.0, 0.0);
         let mut number = 0u64;
         for _ in 0..SECONDS * 10 {
@@ -183,7 +185,7 @@
             "[[senders]]\nname = \"sender-{at}\"\nagent = \"127.1.{high}.{low}:7100\"\nzone = \"zone-{zone}\"\n"
         );
     }
-    text.push_str("[[stages]]\nsenders = [\"sender-0\"]\n[[stages]]\nsenders = [");
+    text.push_str("[[stages]]\nsenders = [");
     (0..size).for_each(|at| _ = write!(text, "\"sender-{at}\","));
     _ = write!(text, "]\n[limits]\naway = {}\n", (size / AWAY).max(1));
     text
--- a/crates/scale/tests/fit.rs
+++ b/crates/scale/tests/fit.rs
@@ -1,6 +1,6 @@
 //! The line through the points, and the sizes that points are taken at.
 
-use indigomast_scale::fit::{Fit, sizes};
+use indigomast_scale::fit::{Fit, Power, sizes};
 
 fn line(fixed: f64, slope: f64) -> Vec<(f64, f64)> {
     sizes(10.0, 1e6).into_iter().map(|size| (size, fixed + slope * size)).collect()
@@ -46,6 +46,16 @@
     assert!((reach.beyond - 10.0).abs() < 1e-9 && (reach.value / 3e7 - 1.0).abs() < 1e-3, "{reach:?}");
 }
 
+#[test]
+fn what_grows_with_the_square_is_carried_on_as_a_square() {
+    let squares: Vec<_> =
+        sizes(10.0, 1e4).into_iter().map(|size| (size, 100.0 * size + size * size)).collect();
+    let power = Power::of(&squares).expect("points enough");
+    assert!(power.order > 1.7 && power.order < 2.1, "{power:?}");
+    let reach = power.reach(1e5);
+    assert!(reach.value / 1.001e10 > 0.7 && reach.value / 1.001e10 < 1.3, "{reach:?}");
+}
+
 #[test]
 fn too_little_is_no_line() {
     assert_eq!(Fit::of(&[(10.0, 1.0), (100.0, 2.0)]), None);
