--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -86,7 +86,7 @@
         to: Option<f64>,
         #[arg(long, default_value_t = 1)]
         seed: u64,
-        /// Real daemons of this program instead of hollow senders: destinations, owed or changes
+        /// Real daemons of this program instead of hollow senders: destinations, active, owed or changes
         #[arg(long)]
         daemon: Option<PathBuf>,
         /// Write points, fits and extrapolations to this file
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::io;
+use std::net::SocketAddr;
 
 /// What a sender of the fleet may have.
 pub const GRANT: (u64, usize, f64) = (128, 1024, 2048.0);
@@ -86,16 +87,27 @@
 
 /// A list as discovery writes it, of the destinations from one number to before another, an endpoint each.
 pub fn list_text(from: usize, to: usize, revision: u64, complete: bool) -> String {
+    list_text_at(from, to, revision, complete, None)
+}
+
+/// The same, with all endpoints at one address.
+pub fn list_text_at(
+    from: usize,
+    to: usize,
+    revision: u64,
+    complete: bool,
+    address: Option<SocketAddr>,
+) -> String {
     let mut text = format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[");
     for at in from..to {
         let comma = if at > from { "," } else { "" };
         let (zone, port) = (at % 10, 1024 + at % 60_000);
-        let (high, low) = (at >> 8 & 0xff, at & 0xff);
+        let own = [127, (at >> 16) as u8, (at >> 8) as u8, at as u8];
+        let address = address.unwrap_or_else(|| SocketAddr::from((own, port as u16)));
         _ = write!(
             text,
-            "{comma}{{\"id\":\"e-{at}\",\"host_port\":\"127.{}.{high}.{low}:{port}\",\"locality\":\"zone-{zone}\",\
+            "{comma}{{\"id\":\"e-{at}\",\"host_port\":\"{address}\",\"locality\":\"zone-{zone}\",\
              \"flavor\":\"office\",\"cell\":{at},\"phase\":\"Ready\",\"size\":{UNITS:.1},\"up_since_ms\":0}}",
-            at >> 16 & 0xff,
         );
     }
     text.push_str("]}");
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -27,6 +27,8 @@
     Count,
     /// Bytes that the allocator was asked for and has not got back.
     Heap,
+    /// How many blocks that is, to each of which the allocator adds some bytes of its own.
+    Blocks,
     /// Processor time of one thread in microseconds.
     Micros,
     /// The same, of one event: it should not grow with the size, and is fitted by its mean.
@@ -50,6 +52,10 @@
         Reading { name: name.to_owned(), sort: Sort::Heap, value: bytes }
     }
 
+    pub fn blocks(name: &str, blocks: f64) -> Reading {
+        Reading { name: name.to_owned(), sort: Sort::Blocks, value: blocks }
+    }
+
     pub fn each(name: &str, micros: f64) -> Reading {
         Reading { name: name.to_owned(), sort: Sort::Each, value: micros }
     }
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -3,8 +3,8 @@
 
 use clap::Parser;
 use indigomast_scale::meter::{Heap, Meter};
-use indigomast_scale::report::{Point, Report, figure};
-use indigomast_scale::roles;
+use indigomast_scale::report::{Point, RUNS, Report, figure};
+use indigomast_scale::{Role, real, roles};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
 use std::path::PathBuf;
@@ -25,6 +25,9 @@
     to: Option<f64>,
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Real daemons of this program instead of hollow senders: destinations, active, owed or changes
+    #[arg(long)]
+    daemon: Option<PathBuf>,
     /// Write points, fits and extrapolations to this file
     #[arg(long)]
     json: Option<PathBuf>,
@@ -40,10 +43,15 @@
 
 fn run(arguments: &Arguments) -> Result<(), String> {
     let meter = Meter::new(heap);
-    let chosen = match &arguments.role {
-        Some(name) => vec![roles::find(name)?],
+    let all: Vec<Box<dyn Role>> = match &arguments.daemon {
+        Some(daemon) => real::all(daemon),
         None => roles::all(),
     };
+    let chosen = match &arguments.role {
+        Some(name) => vec![roles::among(all, name)?],
+        None => all,
+    };
+    let runs = if arguments.daemon.is_some() { 1 } else { RUNS };
     let mut reports = Vec::new();
     for role in chosen {
         let to = arguments.to.unwrap_or(role.range().1);
@@ -55,7 +63,7 @@
                 .collect();
             println!("  {}: {}", point.size, readings.join("; "));
         };
-        let report = Report::run(&*role, to, arguments.seed, &meter, &mut tell)?;
+        let report = Report::run(&*role, to, arguments.seed, runs, &meter, &mut tell)?;
         print!("{}", report.text());
         reports.push(report);
     }
--- a/crates/scale/src/real.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The same roles of real daemons.
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -9,7 +9,7 @@
 
 /// A size whose run is shorter than this is run again, and the middle of its times counts.
 const SHORT: Duration = Duration::from_millis(1500);
-const RUNS: usize = 3;
+pub const RUNS: usize = 3;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Point {
@@ -44,7 +44,7 @@
 }
 
 impl Report {
-    /// Measures up to a size. What doesn't fit in memory is not begun.
+    /// Measures up to a size, each size so often if that is short. What doesn't fit in memory is not begun.
     ///
     /// # Errors
     ///
@@ -53,6 +53,7 @@
         role: &dyn Role,
         to: f64,
         seed: u64,
+        runs: usize,
         meter: &Meter,
         tell: &mut dyn FnMut(&Point),
     ) -> Result<Report, String> {
@@ -69,7 +70,8 @@
                 not_run.push(format!("{size}: it may need {needs:.1} GB, and {room:.1} GB may be used"));
                 continue;
             }
-            let point = point(role, size, seed, meter).map_err(|e| format!("{} {size}: {e}", role.name()))?;
+            let point =
+                point(role, size, seed, runs, meter).map_err(|e| format!("{} {size}: {e}", role.name()))?;
             tell(&point);
             points.push(point);
         }
@@ -152,10 +154,10 @@
     }
 }
 
-fn point(role: &dyn Role, size: f64, seed: u64, meter: &Meter) -> Result<Point, String> {
+fn point(role: &dyn Role, size: f64, seed: u64, most: usize, meter: &Meter) -> Result<Point, String> {
     let mut runs = Vec::new();
     let begun = Instant::now();
-    while runs.is_empty() || (runs.len() < RUNS && begun.elapsed() < SHORT) {
+    while runs.is_empty() || (runs.len() < most && begun.elapsed() < SHORT) {
         runs.push(role.measure(size, seed, meter)?);
     }
     let first = runs[0].clone();
@@ -186,7 +188,9 @@
         format!("{value:.digits$} {unit}").trim_end().to_owned()
     };
     match sort {
-        Sort::Count => scaled(value, &[(1.0, ""), (1e3, "k"), (1e6, "M"), (1e9, "G"), (1e12, "T")]),
+        Sort::Count | Sort::Blocks => {
+            scaled(value, &[(1.0, ""), (1e3, "k"), (1e6, "M"), (1e9, "G"), (1e12, "T")])
+        }
         Sort::Heap => scaled(value, &[(1.0, "B"), (1e3, "kB"), (1e6, "MB"), (1e9, "GB"), (1e12, "TB")]),
         Sort::Micros | Sort::Each => scaled(value, &[(1.0, "us"), (1e3, "ms"), (1e6, "s")]),
     }
--- a/crates/scale/src/roles/destinations.rs
+++ b/crates/scale/src/roles/destinations.rs
@@ -104,7 +104,7 @@
             Reading::count("list bytes", text.len() as f64),
             Reading::count("calls to all", calls as f64),
             Reading::heap("idle bytes", idle_bytes),
-            Reading::heap("idle blocks", idle_blocks),
+            Reading::blocks("idle blocks", idle_blocks),
             Reading::heap("active bytes more", active_bytes),
             Reading::micros("list read", parse),
             Reading::micros("list taken", take),
--- a/crates/scale/src/roles/mod.rs
+++ b/crates/scale/src/roles/mod.rs
@@ -27,7 +27,14 @@
 ///
 /// There is none of that name; which there are.
 pub fn find(name: &str) -> Result<Box<dyn Role>, String> {
-    let names: Vec<&str> = all().iter().map(|role| role.name()).collect();
-    let found = all().into_iter().find(|role| role.name() == name);
-    found.ok_or_else(|| format!("--role: {name:?} is none of {}", names.join(", ")))
+    among(all(), name)
+}
+
+/// # Errors
+///
+/// There is none of that name; which there are.
+pub fn among(roles: Vec<Box<dyn Role>>, name: &str) -> Result<Box<dyn Role>, String> {
+    let names: Vec<&str> = roles.iter().map(|role| role.name()).collect();
+    let unknown = format!("--role: {name:?} is none of {}", names.join(", "));
+    roles.into_iter().find(|role| role.name() == name).ok_or(unknown)
 }
