--- a/crates/scale/src/roles/outages.rs
+++ b/crates/scale/src/roles/outages.rs
@@ -12,7 +12,7 @@
 /// Until all are known to be down, and for so long they are looked at then: longer than the pause between two trials of
 /// one of so many senders.
 const SETTLED: Span = Span::millis(10_000);
-const LOOKED_AT: Span = Span::millis(600_000);
+const LOOKED_AT: Span = Span::millis(240_000);
 const STEP: Span = Span::millis(5);
 
 pub struct Outages;
@@ -27,7 +27,7 @@
     }
 
     fn range(&self) -> (f64, f64) {
-        (10.0, 30_000.0)
+        (10.0, target::DESTINATIONS * target::DOWN)
     }
 
     fn goal(&self) -> f64 {
@@ -37,7 +37,8 @@
     fn assumes(&self) -> &'static [&'static str] {
         &[
             "each refuses connections within a millisecond and has one text at this sender at any time",
-            "as many calls may be out as there are destinations: slots hold nothing back",
+            "as many calls may be out as there are destinations: slots hold nothing back; looked at for 240 s, a little \
+             longer than the pause between two trials of one sender among 16,000",
         ]
     }
 
