--- a/crates/scale/src/roles/senders.rs
+++ b/crates/scale/src/roles/senders.rs
@@ -9,7 +9,7 @@
 use indigomast::chance::Chance;
 use indigomast::rules::Rules;
 use indigomast::time::{Moment, Span};
-use indigomast_sender::asking::Turns;
+use indigomast_sender::poll_schedule::PollSchedule;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -96,7 +96,7 @@
     let start = Instant::now();
     let mut asked: Vec<u32> = Vec::new();
     for number in 0..senders {
-        let (mut turns, mut now) = (Turns::new(start, number, senders, TERM), start);
+        let (mut turns, mut now) = (PollSchedule::new(start, number, senders, TERM), start);
         let end = start + Duration::from_secs(60);
         if renewed {
             turns.asks(now);
