--- a/crates/scale/src/real/mod.rs
+++ b/crates/scale/src/real/mod.rs
@@ -26,6 +26,8 @@
 /// What a start leaves to do is done by then.
 const SETTLED: Duration = Duration::from_millis(1500);
 const BODY: usize = 256;
+/// Texts of one client that are handed in once more.
+const TURNED_AWAY: usize = 500;
 /// As many as a daemon's list may have today.
 const LISTED: f64 = 4096.0;
 /// Each endpoint in use has two threads, and there are to be no more than 200 processes and threads: so few daemons at the
@@ -181,7 +183,8 @@
     let mut reader = BufReader::new(stream.try_clone().map_err(complain)?);
     let mut stream = stream;
     let body = "x".repeat(BODY);
-    for at in 0..count {
+    let (mut at, mut turned_away) = (0, 0);
+    while at < count {
         let dest = at % destinations;
         let request = format!(
             "POST /notice-0 HTTP/1.1\r\nHost: scale\r\nX-Request-ID: {at:016x}\r\nX-Timeout-Ms: 86400000\r\n\
@@ -207,9 +210,16 @@
         }
         let mut rest = vec![0; length];
         reader.read_exact(&mut rest).map_err(complain)?;
+        // A machine that is busy has it late to its work, and then it asks clients to come again.
+        if status.contains(" 503") && turned_away < TURNED_AWAY {
+            turned_away += 1;
+            thread::sleep(LOOK);
+            continue;
+        }
         if !status.contains(" 202") && !status.contains(" 200") {
-            return Err(format!("text {at}: {}", status.trim()));
+            return Err(format!("text {at}, {turned_away} turned away before: {}", status.trim()));
         }
+        at += 1;
     }
     Ok(())
 }
