--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -44,7 +44,7 @@
 fn run(arguments: &Arguments) -> Result<(), String> {
     let meter = Meter::new(heap);
     let all: Vec<Box<dyn Role>> = match &arguments.daemon {
-        Some(daemon) => real::all(daemon),
+        Some(daemon) => real::all(daemon, &[]),
         None => roles::all(),
     };
     let chosen = match &arguments.role {
@@ -75,7 +75,12 @@
 }
 
 fn main() -> ExitCode {
-    match run(&Arguments::parse()) {
+    // A daemon for tests, which know this program alone: it counts its allocations, and its figures are not for a page.
+    let done = match std::env::args().nth(1).as_deref() {
+        Some("daemon") => indigomast_sender::run(),
+        _ => run(&Arguments::parse()),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(complaint) => {
             eprintln!("indigomast-scale: {complaint}");
--- a/crates/scale/src/real/mod.rs
+++ b/crates/scale/src/real/mod.rs
@@ -39,12 +39,12 @@
 /// As many as a daemon takes with 128 MB and 2 GB.
 const TEXTS: f64 = 20_000.0;
 
-pub fn all(daemon: &Path) -> Vec<Box<dyn Role>> {
+/// Of daemons that are started by this program with these arguments.
+pub fn all(daemon: &Path, arguments: &[&str]) -> Vec<Box<dyn Role>> {
+    let arguments: Vec<String> = arguments.iter().map(|&argument| argument.to_owned()).collect();
+    let real = |what| Real { daemon: daemon.to_owned(), arguments: arguments.clone(), what };
     let roles = [What::Destinations, What::Active, What::Owed, What::Changes];
-    roles
-        .into_iter()
-        .map(|what| Box::new(Real { daemon: daemon.to_owned(), what }) as Box<dyn Role>)
-        .collect()
+    roles.into_iter().map(|what| Box::new(real(what)) as Box<dyn Role>).collect()
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -57,6 +57,7 @@
 
 struct Real {
     daemon: PathBuf,
+    arguments: Vec<String>,
     what: What,
 }
 
@@ -74,7 +75,7 @@
     ///
     /// What it said last where it doesn't come up.
     pub fn start(
-        program: &Path,
+        (program, arguments): (&Path, &[String]),
         stand: &Stand,
         number: usize,
         (senders, term_ms): (usize, f64),
@@ -102,6 +103,7 @@
         let log = folder.join("log");
         let errors = File::create(&log).map_err(complain)?;
         let mut child = Command::new(program)
+            .args(arguments)
             .env("ROUTER_CONFIG", &config)
             .env("ROUTER_STATE", &state)
             .env_remove("ROUTER_ACCOUNT")
@@ -123,6 +125,7 @@
             if ended.is_some() || Instant::now() > by {
                 _ = child.kill();
                 _ = child.wait();
+                let said = fs::read_to_string(&log).unwrap_or_default();
                 _ = fs::remove_dir_all(&folder);
                 let last = said.lines().last().unwrap_or("it said nothing").to_owned();
                 return Err(last);
@@ -234,7 +237,8 @@
     }
 
     fn start_some(&self, count: usize, stand: &Stand, fleet: (usize, f64)) -> Result<Vec<Daemon>, String> {
-        let daemons = (0..count).map(|number| Daemon::start(&self.daemon, stand, number, fleet));
+        let daemons =
+            (0..count).map(|number| Daemon::start((&self.daemon, &self.arguments), stand, number, fleet));
         let daemons = daemons.collect::<Result<Vec<_>, _>>()?;
         thread::sleep(SETTLED);
         Ok(daemons)
--- a/crates/scale/src/roles/senders.rs
+++ b/crates/scale/src/roles/senders.rs
@@ -9,7 +9,7 @@
 use indigomast::chance::Chance;
 use indigomast::rules::Rules;
 use indigomast::time::{Moment, Span};
-use indigomast_sender::poll_schedule::PollSchedule;
+use indigomast_sender::poll_schedule::{PollSchedule, Reply};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -61,8 +61,9 @@
 
     fn measure(&self, size: f64, seed: u64, meter: &Meter) -> Result<Vec<Reading>, String> {
         let size = size as usize;
-        let (asked, asked_most) = questions(size, false);
-        let (_, renewed_most) = questions(size, true);
+        let (asked, asked_most) = questions(size, false, Reply::Told);
+        let (_, renewed_most) = questions(size, true, Reply::Told);
+        let (_, broken_most) = questions(size, false, Reply::Broken);
         let mark = meter.mark();
         let fleet = Fleet::new(size, ListedRate::Exact, seed);
         let bytes = meter.bytes_since(mark);
@@ -75,6 +76,7 @@
             Reading::count("questions a second", asked),
             Reading::count("questions in the busiest second", asked_most),
             Reading::count("the same after all are told anew", renewed_most),
+            Reading::count("the same while all questions break off", broken_most),
             Reading::count("full, rate listed: calls a second while down", listed.down),
             Reading::count("full, rate listed: most in a second once back", listed.most),
             Reading::count("full, rate listed: seconds to the first call", listed.first),
@@ -92,7 +94,7 @@
 }
 
 /// Questions that a fleet asks, a second and in the busiest second of a minute.
-fn questions(senders: usize, renewed: bool) -> (f64, f64) {
+fn questions(senders: usize, renewed: bool, reply: Reply) -> (f64, f64) {
     let start = Instant::now();
     let mut asked: Vec<u32> = Vec::new();
     for number in 0..senders {
@@ -108,7 +110,7 @@
             turns.asks(now);
             // A question that is watched is held until something changes: one a second here.
             now += Duration::from_millis(if turns.watches() { 1000 } else { 1 });
-            turns.answered(true);
+            turns.answered(now, reply);
         }
     }
     asked.sort_unstable();
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -1,6 +1,8 @@
 mod admission;
 mod common;
 mod crossings;
+mod discovery;
+mod edges;
 mod forms;
 mod handover;
 mod kills;
