--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -115,6 +115,11 @@
         self.filled
     }
 
+    /// Destinations of a snapshot that isn't whole yet.
+    pub fn staged(&self) -> Option<usize> {
+        self.staging.as_ref().map(|staging| staging.replica.live())
+    }
+
     pub fn next(&self) -> Moment {
         let link = self.link.next();
         self.publisher.next().map_or(link, |at| at.min(link))
--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -210,6 +210,20 @@
         self.secret.seal(Way::FromAgent, &self.saved_name(), &saved)
     }
 
+    /// For rehearsals: another position, the one before is handed back.
+    pub(crate) fn positions(
+        &mut self,
+        position: Option<Position>,
+        seen: Option<Position>,
+    ) -> (Option<Position>, Option<Position>) {
+        let part = &mut self.part;
+        (std::mem::replace(&mut part.position, position), std::mem::replace(&mut part.seen, seen))
+    }
+
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+
     /// What is in force.
     pub fn part(&self) -> &Part {
         &self.part
