--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -10,7 +10,8 @@
 //! sender's side, which keeps the last word in force while cut off and never runs on half a part. [`publisher`] is how a
 //! controller serves relays and a relay serves senders, within the bytes a second that each may be sent ([`budget`]);
 //! [`link`] is the other end of that. [`wire`] says how lines look and how each side knows that the other said them.
-//! [`rehearsal`] plays all of it in simulated time under faults.
+//! [`rehearsal`] plays all of it in simulated time under faults, [`panel`] all
+//! the hard cases at any size.
 //!
 //! It guards against two controllers that both assign, a change that is lost or overtaken by an older one, a burst that
 //! queues for ever, and a fleet that moves all at once. Sockets, files and clocks are left to a carrier; so is knowing who
@@ -39,6 +40,7 @@
 pub mod catalog;
 pub mod controller;
 pub mod link;
+pub mod panel;
 pub mod placement;
 pub mod publisher;
 pub mod rehearsal;
--- a/crates/assignment/src/rehearsal.rs
+++ b/crates/assignment/src/rehearsal.rs
@@ -197,10 +197,11 @@
     bytes: u64,
     relay_bytes: u64,
     most_in_10_s: usize,
+    /// Controllers, relays, senders, since the last mark, and what that was when the last account was taken.
     pub work: [Work; 3],
+    pub worked: [Work; 3],
     began: Moment,
     marked: (u64, u64, u64, u64, u64),
-    pub highest_load: f64,
     /// What must never be, and was.
     pub broken: Vec<String>,
     check_each: bool,
@@ -244,9 +245,9 @@
             relay_bytes: 0,
             most_in_10_s: 0,
             work: [Work::default(); 3],
+            worked: [Work::default(); 3],
             began: now,
             marked: (0, 0, 0, 0, 0),
-            highest_load: 0.0,
             broken: Vec::new(),
             check_each: plan.senders <= 100,
             tamper: None,
@@ -347,23 +348,24 @@
 
     // Faults and events, by command.
 
-    /// Relays begin with nothing, or with the first one's copy.
-    pub fn start_relays(&mut self, copied: bool) {
-        for number in 0..self.plan.relays {
+    /// All relays begin with nothing.
+    pub fn start_relays(&mut self) {
+        (0..self.plan.relays).for_each(|number| self.start(Node::Relay(number)));
+    }
+
+    /// All but the first begin with its copy.
+    pub fn copy_relays(&mut self) {
+        let copy = self.relays[0].replica().clone();
+        for number in 1..self.plan.relays {
             self.start(Node::Relay(number));
-            if copied && number == 0 {
-                let until = self.now + Span::millis(600_000);
-                while !self.relays[0].is_filled() && self.now < until {
-                    self.run(Span::millis(100));
-                }
-                let copy = self.relays[0].replica().clone();
-                for other in 1..self.plan.relays {
-                    self.relays[other as usize] = self.new_relay(other, Some(copy.clone()));
-                }
-            }
+            self.relays[number as usize] = self.new_relay(number, Some(copy.clone()));
         }
     }
 
+    pub fn relay_bytes(&self) -> u64 {
+        self.relay_bytes
+    }
+
     pub fn start_senders(&mut self) {
         (0..self.plan.senders).for_each(|number| self.start(Node::Sender(number)));
     }
@@ -999,6 +1001,11 @@
         }
     }
 
+    /// The same of all of them.
+    pub fn check_all(&mut self) {
+        (0..self.plan.senders).for_each(|sender| self.check_whole(sender));
+    }
+
     /// Every sender that runs has its part as the one who leads has it, and nothing else.
     pub fn differences(&self) -> Vec<String> {
         let truth = self.controller().replica();
@@ -1072,7 +1079,8 @@
     }
 
     /// What the span came to that began with the last mark.
-    pub fn account(&self, name: &str) -> Account {
+    pub fn account(&mut self, name: &str) -> Account {
+        self.worked = self.work;
         let seconds = self.now.since(self.began).as_secs().max(1e-9);
         let (senders, relays) = (f64::from(self.plan.senders), f64::from(self.plan.relays));
         let unfinished = self.unfinished();
--- a/crates/assignment/tests/hard_cases.rs
+++ b/crates/assignment/tests/hard_cases.rs
@@ -12,7 +12,7 @@
 /// All running, all parts in force.
 fn settled(plan: Plan) -> World {
     let mut world = World::new(plan);
-    world.start_relays(false);
+    world.start_relays();
     world.run(secs(5));
     world.start_senders();
     world.run(secs(40));
@@ -32,7 +32,7 @@
     assert_eq!(world.lacking(), (0, 0));
 }
 
-fn within(world: &World, seconds: f64) -> Account {
+fn within(world: &mut World, seconds: f64) -> Account {
     let account = world.account("");
     assert_eq!(account.unfinished, 0, "{account:?}");
     assert!(account.in_force_s.count > 0, "nothing was waited for");
@@ -47,11 +47,11 @@
     // (some 100 bytes each are 600 of 1,360 a second), so nothing may queue for longer than the part takes.
     let mut world = settled(Plan::small(2));
     world.run_with_changes(secs(20), 0.76);
-    within(&world, 2.0);
+    within(&mut world, 2.0);
     world.mark();
     world.run_with_changes(secs(20), 76.0);
     world.run_until_in_force(secs(20));
-    within(&world, 10.0);
+    within(&mut world, 10.0);
     sound(&world);
 }
 
@@ -84,7 +84,7 @@
     let mut world = settled(Plan::small(4));
     world.change(Change::Common { body: "limits as of today".into() });
     world.run_until_in_force(secs(20));
-    within(&world, 1.0);
+    within(&mut world, 1.0);
     sound(&world);
 }
 
@@ -163,7 +163,7 @@
     world.reachable_from_now();
     world.run_with_changes(secs(20), 7.6);
     world.run_until_in_force(secs(20));
-    let account = within(&world, 10.0);
+    let account = within(&mut world, 10.0);
     assert_eq!(account.snapshots, 0, "changes are enough: {account:?}");
     sound(&world);
 }
@@ -182,7 +182,7 @@
     }
     world.heal(1);
     world.run_until_in_force(secs(60));
-    let account = within(&world, 10.0);
+    let account = within(&mut world, 10.0);
     assert!(account.changes > 900);
     assert_eq!(account.snapshots, 0, "changes are enough: {account:?}");
     sound(&world);
@@ -254,7 +254,7 @@
         world.run_with_changes(secs(5), 0.76);
     }
     world.run_until_in_force(secs(20));
-    let account = within(&world, 10.0);
+    let account = within(&mut world, 10.0);
     assert_eq!((account.snapshots, account.moved), (0, 0), "{account:?}");
     sound(&world);
 }
@@ -270,7 +270,7 @@
         who.iter().for_each(|sender| world.start(Node::Sender(*sender)));
         world.run_with_changes(secs(10), 7.6);
         world.run_until_in_force(secs(20));
-        let account = within(&world, 10.0);
+        let account = within(&mut world, 10.0);
         assert_eq!((account.snapshots, account.moved), (0, 0), "{account:?}");
         sound(&world);
     }
@@ -284,7 +284,7 @@
     world.run_with_changes(secs(30), 20.0);
     world.run_with_changes(secs(10), 20.0);
     world.run_until_in_force(secs(20));
-    let account = within(&world, 10.0);
+    let account = within(&mut world, 10.0);
     assert_eq!(account.snapshots, 0, "{account:?}");
     sound(&world);
 }
@@ -298,7 +298,7 @@
         world.run_with_changes(secs(2), 20.0);
     }
     world.run_until_in_force(secs(20));
-    within(&world, 10.0);
+    within(&mut world, 10.0);
     sound(&world);
 }
 
--- /dev/null
+++ b/crates/cli/src/assignment.rs
@@ -0,0 +1,152 @@
+//! `indigomast lab assignment`: the machine of `indigomast-assignment` at size, in simulated time.
+
+use crate::{Done, Failure};
+use clap::Args;
+use indigomast::time::Span;
+use indigomast_assignment::budget;
+use indigomast_assignment::catalog::Settings;
+use indigomast_assignment::panel::{self, Report};
+use indigomast_assignment::rehearsal::{Account, Plan};
+use std::fs;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct Arguments {
+    #[arg(long, default_value_t = 16_000)]
+    senders: u32,
+    #[arg(long, default_value_t = 1_100_000)]
+    destinations: u32,
+    #[arg(long, default_value_t = 39)]
+    relays: u32,
+    /// A power of two with some 16 for each sender where it is not given
+    #[arg(long)]
+    shards: Option<u32>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Write all figures to this file
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// Processor time of this thread; waits for the processor don't count.
+fn clock() -> Span {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Span::from_millis(now.tv_sec as f64 * 1e3 + now.tv_nsec as f64 / 1e6)
+}
+
+/// Resident, in bytes; 0 where that can't be read.
+fn memory() -> usize {
+    let pages = fs::read_to_string("/proc/self/statm").ok();
+    let pages =
+        pages.and_then(|text| text.split_whitespace().nth(1).and_then(|pages| pages.parse::<usize>().ok()));
+    pages.unwrap_or(0) * 4096
+}
+
+fn line(case: &Account) {
+    println!(
+        "{:<50} {:>6.0} s  {:>5} changes  in force after {:.2}/{:.2}/{:.2} s (median/p99/most), {} over 10 s, {} \
+         never  {:.0} B/s a sender, most in 10 s {}  {} moved, {} snapshots, {} taken up, {} resumed, {} refused",
+        case.name,
+        case.seconds,
+        case.changes,
+        case.in_force_s.median,
+        case.in_force_s.p99,
+        case.in_force_s.most,
+        case.over_10_s,
+        case.unfinished,
+        case.sender_bytes_a_second,
+        case.sender_most_in_10_s,
+        case.moved,
+        case.snapshots,
+        case.taken_up,
+        case.resumed,
+        case.refused,
+    );
+}
+
+fn print(report: &Report) {
+    println!(
+        "memory: sender {:.1} KB (most {:.1} KB; of the process {:.1} KB each) for {:.0} destinations (most {}); \
+         relay {:.1} MB, {} senders at most; controller {:.1} MB",
+        report.sender_memory_mean / 1e3,
+        report.sender_memory_most as f64 / 1e3,
+        report.process_bytes_a_sender / 1e3,
+        report.sender_destinations_mean,
+        report.sender_destinations_most,
+        report.relay_memory_mean / 1e6,
+        report.relay_sessions_most,
+        report.controller_memory as f64 / 1e6,
+    );
+    println!(
+        "processor: a change costs a relay {:.1} us to take in ({:.1} us in all, idle time taken off), the controller \
+         {:.1} us; loading all {:.1} s",
+        report.relay_us_a_change,
+        report.relay_us_a_change_idle_taken_off,
+        report.controller_us_a_change,
+        report.first_load_controller_s,
+    );
+    for case in &report.cases {
+        println!(
+            "  {:<50} sender {:.4}% of a core, {:.1} us a frame that changes something; relay {:.3}%, controller {:.2}%",
+            case.name,
+            case.sender_cpu_share * 100.0,
+            case.sender_us_a_change,
+            case.relay_cpu_share * 100.0,
+            case.controller_cpu_share * 100.0,
+        );
+    }
+    for moves in &report.moves {
+        println!(
+            "{} lost ({} senders): {} moves, {} the least; {:.0} s; highest load {:.3} of the mean, bound {:.3}, {} \
+             beyond; at most {} shards without an owner that runs",
+            moves.what,
+            moves.senders,
+            moves.moved,
+            moves.least,
+            moves.seconds,
+            moves.highest_load_to_mean,
+            moves.bound_to_mean,
+            moves.beyond_bound,
+            moves.without_owner,
+        );
+    }
+    let base = &report.baseline;
+    println!(
+        "everybody told everything: {:.1} MB a sender, a snapshot of {:.1} MB ({:.0} s at a sender's rate), {:.0} B/s \
+         at 0.76 changes a second and {:.0} B/s at 76, {:.1} us a change",
+        base.memory_bytes as f64 / 1e6,
+        base.snapshot_bytes as f64 / 1e6,
+        base.snapshot_s_at_a_senders_rate,
+        base.bytes_a_second_at_mean,
+        base.bytes_a_second_at_burst,
+        base.us_a_change,
+    );
+}
+
+pub fn run(arguments: Arguments) -> Done {
+    let Arguments { senders, destinations, relays, shards, seed, json } = arguments;
+    let least = (senders < 100, "--senders: 100 or more", relays < 4, "--relays: 4 or more");
+    if least.0 || least.2 {
+        let complaint = if least.0 { least.1 } else { least.3 };
+        return Err(Failure::Complaint(complaint.into()));
+    }
+    let shards = shards.unwrap_or_else(|| (senders * 8).next_power_of_two());
+    let settings = Settings { shards, ..Settings::default() };
+    let clock = Some(clock as fn() -> Span);
+    let (pace, controllers, regions, zones) = (budget::SENDER, 2, 5, 10);
+    let plan =
+        Plan { senders, destinations, relays, controllers, regions, zones, seed, settings, pace, clock };
+    println!(
+        "simulated: {senders} senders, {destinations} destinations, {relays} relays, {shards} shards, seed {seed}"
+    );
+    let report = panel::play(plan, memory, &mut line);
+    print(&report);
+    if let Some(path) = json {
+        let text = serde_json::to_string(&report).map_err(|e| e.to_string())?;
+        fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    for broken in &report.broken {
+        eprintln!("broken: {broken}");
+    }
+    if report.broken.is_empty() { Ok(()) } else { Err(Failure::RuleBroken) }
+}
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -74,6 +74,8 @@
         #[arg(long)]
         html: PathBuf,
     },
+    /// Which senders serve which destinations: all hard cases in simulated time, at any size
+    Assignment(crate::assignment::Arguments),
     /// A table of service by scenario and policy, of several files of runs
     Table { runs: Vec<PathBuf> },
 }
@@ -296,6 +298,7 @@
             Ok(())
         }
         Command::Report { runs, html } => write(&html, &report::html(&read(&runs)?)?),
+        Command::Assignment(arguments) => crate::assignment::run(arguments),
         Command::Table { runs } => {
             let mut all = Runs::default();
             for path in &runs {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 //! ran late, so that the run says nothing; 5 a journal is damaged; 6 a change was halted or taken back; 130 interrupted.
 
 mod account;
+mod assignment;
 mod demo;
 mod emulate;
 mod install;
