Assignment: who has parted goes back instead of being told all anew; load bound of two

Change: a relay forgets what the older controller said after the common position and asks for just that; a sender that took none of it in lowers its position. No sender is given more than its part of destinations either, not of weight alone. A heavy shard raises the bound for itself only.

--- a/crates/assignment/src/budget.rs
+++ b/crates/assignment/src/budget.rs
@@ -60,17 +60,17 @@
     pub heartbeat: Span,
 }
 
-/// Down to a sender 4,096 + 10 x 1,360, up from it 2,048 + 10 x 64 bytes in any 10 s: 20,384 of the 20,480 that it may spend.
+/// Down to a sender 4,096 + 10 x 1,430, up from it 1,536 + 10 x 48 bytes in any 10 s: 20,412 of the 20,480 that it may spend.
 pub const SENDER: Pace = Pace {
-    rate: 1360.0,
+    rate: 1430.0,
     burst: 4096.0,
     largest: 3600,
-    least: 1536,
+    least: 2048,
     window: 8192,
     heartbeat: Span::millis(2500),
 };
-pub const SENDER_UP_RATE: f64 = 64.0;
-pub const SENDER_UP_BURST: f64 = 2048.0;
+pub const SENDER_UP_RATE: f64 = 48.0;
+pub const SENDER_UP_BURST: f64 = 1536.0;
 /// What a sender's control may cost in any 10 s, both ways.
 pub const SENDER_MOST_IN_10_S: usize = 20_480;
 
--- a/crates/assignment/src/catalog.rs
+++ b/crates/assignment/src/catalog.rs
@@ -4,11 +4,11 @@
 //! revision have the same history up to there (the log matching of Raft, section 5.3), so a position tells whether a
 //! peer can be brought up to date by changes or has parted.
 
-use crate::placement::mix;
+use crate::placement::{Load, mix};
 use crate::wire::{Fault, Record};
 use indigomast::time::Span;
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 /// A shard has no more owners, those who leave included.
@@ -17,6 +17,8 @@
 pub const LONGEST_BODY: usize = 768;
 /// Changes of controller that are remembered; who stood still for longer is told all anew.
 const MOST_ERAS: usize = 64;
+/// Keys that one who parted may ask for; more are told by a snapshot.
+const MOST_SUSPECTS: usize = 2048;
 
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -76,7 +78,8 @@
 }
 
 /// What a revision is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Key {
     Destination(u32),
     Shard(u32),
@@ -196,8 +199,9 @@
         self.entries.iter().filter(|entry| entry.body.is_some())
     }
 
-    pub fn load(&self) -> u64 {
-        self.live().map(|entry| u64::from(entry.weight)).sum()
+    /// Sum of weights, and destinations.
+    pub fn load(&self) -> Load {
+        self.live().fold([0; 2], |sum, entry| [sum[0] + u64::from(entry.weight), sum[1] + 1])
     }
 }
 
@@ -388,6 +392,51 @@
         }
     }
 
+    /// The last position up to which a peer that has parted has the same history, if that can be told from here.
+    pub fn common_with(&self, peer: Position) -> Option<Position> {
+        let after = self.eras.iter().find(|(epoch, _)| *epoch > peer.epoch)?;
+        let common = self.position_at((after.1 - 1).min(peer.revision));
+        (common.epoch == peer.epoch && common.revision >= self.floor).then_some(common)
+    }
+
+    /// Forgets what came after this position, which is of its own history; what that was about has to be told anew. None,
+    /// and nothing done, if the log doesn't reach so far back, or that can't be told by itself.
+    pub(crate) fn rewind(&mut self, common: Position) -> Option<Vec<Key>> {
+        if common.revision > self.revision {
+            return Some(Vec::new());
+        }
+        let after = self.log.iter().rev().take_while(|(revision, _)| *revision > common.revision);
+        let suspects: BTreeSet<Key> = after.map(|(_, key)| *key).collect();
+        let tellable = suspects.len() <= MOST_SUSPECTS && !suspects.contains(&Key::Common);
+        if self.floor > common.revision || self.position_at(common.revision) != common || !tellable {
+            return None;
+        }
+        while self.log.back().is_some_and(|(revision, _)| *revision > common.revision) {
+            self.log.pop_back();
+        }
+        self.eras.retain(|(_, first)| *first <= common.revision);
+        self.revision = common.revision;
+        Some(suspects.into_iter().filter(|key| *key != Key::Era).collect())
+    }
+
+    /// One that was forgotten, as it stands, however old that is.
+    pub(crate) fn repair(&mut self, record: &Record) {
+        match record {
+            Record::Put(destination, ..) | Record::Remove(destination, _) => {
+                let shard = self.shard_of(*destination);
+                let was = self.shards[shard as usize].find(*destination).is_some_and(|e| e.body.is_some());
+                self.live -= usize::from(was);
+                self.shards[shard as usize].drop(*destination);
+                self.fill(shard, record);
+            }
+            Record::Owners(shard, revision, epoch, owners) => {
+                let known = &mut self.shards[*shard as usize];
+                (known.revision, known.epoch, known.owners) = (*revision, *epoch, *owners);
+            }
+            _ => {}
+        }
+    }
+
     /// Takes a record in, as its era's controller made it. Whose owners changed is told by the owners before.
     ///
     /// # Errors
--- a/crates/assignment/src/controller.rs
+++ b/crates/assignment/src/controller.rs
@@ -202,6 +202,7 @@
                 seen: None,
                 held: Vec::new(),
                 taken: None,
+                suspects: Vec::new(),
                 credit: 0,
             };
             let line = seal_hello(&self.secret, &hello);
@@ -255,7 +256,7 @@
                 return Ok(());
             }
         };
-        self.placement.load(shard, self.replica.shard(shard).map_or(0, |known| known.load()));
+        self.placement.load(shard, self.replica.shard(shard).map_or([0; 2], |known| known.load()));
         Ok(())
     }
 
--- a/crates/assignment/src/link.rs
+++ b/crates/assignment/src/link.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The same one once more, at once.
+    pub fn again(&mut self, now: Moment) {
+        self.state = State::Idle { until: now + budget::RETRY * (self.chance.share() / 2.0) };
+    }
+
     /// Not before this moment.
     pub fn postpone(&mut self, to: Moment) {
         if let State::Idle { until } = &mut self.state {
--- a/crates/assignment/src/placement.rs
+++ b/crates/assignment/src/placement.rs
@@ -27,6 +27,18 @@
     mix(u64::from(shard) << 32 | u64::from(sender))
 }
 
+/// Sum of weights, and destinations: of either no sender is to have much more than others, since the first is its work and
+/// the second is what it must be told.
+pub type Load = [u64; 2];
+
+fn plus(a: Load, b: Load) -> Load {
+    [a[0] + b[0], a[1] + b[1]]
+}
+
+fn minus(a: Load, b: Load) -> Load {
+    [a[0] - b[0], a[1] - b[1]]
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Member {
     place: Place,
@@ -41,7 +53,11 @@
     pub most: u64,
     pub least: u64,
     pub most_to_mean: f64,
+    /// The stated bound; it is above the settings' where one shard alone is that heavy.
     pub bound_to_mean: f64,
+    /// The same of destinations, whatever their weight.
+    pub most_destinations_to_mean: f64,
+    pub destinations_bound_to_mean: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -54,13 +70,13 @@
     /// Those who are there, or gone for less than the linger, by zone.
     zones: BTreeMap<u16, Zone>,
     /// Of each sender: the sum of its shards' loads, and its shards.
-    held: BTreeMap<u32, (u64, BTreeSet<u32>)>,
+    held: BTreeMap<u32, (Load, BTreeSet<u32>)>,
     /// Of each shard.
-    loads: Vec<u64>,
+    loads: Vec<Load>,
     current: Vec<Owners>,
-    /// Sum of loads of all shards.
-    total: u64,
-    heaviest: u64,
+    /// Sum of loads of all shards, and the most that one ever had.
+    total: Load,
+    heaviest: Load,
     /// Senders whose linger runs, by when it began.
     lingering: BTreeSet<(Moment, u32)>,
     /// Came, or came back after the linger: better owners are looked for.
@@ -96,10 +112,10 @@
             members: BTreeMap::new(),
             zones: BTreeMap::new(),
             held: BTreeMap::new(),
-            loads: vec![0; settings.shards as usize],
+            loads: vec![[0; 2]; settings.shards as usize],
             current: vec![Owners::default(); settings.shards as usize],
-            total: 0,
-            heaviest: 0,
+            total: [0; 2],
+            heaviest: [0; 2],
             lingering: BTreeSet::new(),
             newcomers: BTreeSet::new(),
             grown: BTreeSet::new(),
@@ -112,7 +128,7 @@
     }
 
     /// What an earlier controller assigned, shard by shard, before anybody is said to be there.
-    pub(crate) fn take_up(&mut self, shard: u32, owners: Owners, load: u64, now: Moment) {
+    pub(crate) fn take_up(&mut self, shard: u32, owners: Owners, load: Load, now: Moment) {
         self.load(shard, load);
         self.hold(shard, owners);
         if owners.leaving().is_some() {
@@ -134,14 +150,14 @@
     }
 
     /// A shard's load is another.
-    pub fn load(&mut self, shard: u32, load: u64) {
+    pub fn load(&mut self, shard: u32, load: Load) {
         let before = std::mem::replace(&mut self.loads[shard as usize], load);
-        self.total = self.total - before + load;
-        self.heaviest = self.heaviest.max(load);
+        self.total = plus(minus(self.total, before), load);
+        self.heaviest = [self.heaviest[0].max(load[0]), self.heaviest[1].max(load[1])];
         for sender in self.current[shard as usize].list() {
             if let Some(held) = self.held.get_mut(sender) {
-                held.0 = held.0 - before + load;
-                if load > before {
+                held.0 = plus(minus(held.0, before), load);
+                if load[0] > before[0] || load[1] > before[1] {
                     self.grown.insert(*sender);
                 }
             }
@@ -156,13 +172,13 @@
                 && let Some(held) = self.held.get_mut(sender)
                 && held.1.remove(&shard)
             {
-                held.0 -= load;
+                held.0 = minus(held.0, load);
             }
         }
         for sender in owners.list() {
             let held = self.held.entry(*sender).or_default();
             if held.1.insert(shard) {
-                held.0 += load;
+                held.0 = plus(held.0, load);
             }
         }
     }
@@ -203,11 +219,24 @@
         }
     }
 
-    /// No sender is given a shard that takes it over this.
-    pub fn cap(&self) -> u64 {
+    /// Mean load of those who are there.
+    fn mean(&self) -> [f64; 2] {
         let here = self.zones.values().map(|zone| zone.here.len()).sum::<usize>().max(1);
-        let mean = self.total as f64 * self.owners as f64 / here as f64;
-        ((mean * self.load_bound).ceil() as u64).max(mean.ceil() as u64 + self.heaviest)
+        self.total.map(|total| total as f64 * self.owners as f64 / here as f64)
+    }
+
+    /// No sender is given a shard of this load that takes it over this: some share above the mean, or the mean and this shard
+    /// alone. Somebody is always below that, in each of the two.
+    fn cap(&self, load: Load) -> Load {
+        let mean = self.mean();
+        let one =
+            |at: usize| ((mean[at] * self.load_bound).ceil() as u64).max(mean[at].ceil() as u64 + load[at]);
+        [one(0), one(1)]
+    }
+
+    fn fits(&self, sender: u32, load: Load, cap: Load) -> bool {
+        let would = plus(self.load_of(sender), load);
+        would[0] <= cap[0] && would[1] <= cap[1]
     }
 
     /// Those who are there, or were a moment ago.
@@ -221,8 +250,8 @@
         self.members.get(&sender).is_some_and(|member| member.gone.is_none())
     }
 
-    fn load_of(&self, sender: u32) -> u64 {
-        self.held.get(&sender).map_or(0, |held| held.0)
+    fn load_of(&self, sender: u32) -> Load {
+        self.held.get(&sender).map_or([0; 2], |held| held.0)
     }
 
     /// Zones by weighted rendezvous, best first, without the empty ones.
@@ -257,7 +286,7 @@
     }
 
     /// The best sender of a zone that takes this load within the bound.
-    fn best(&self, shard: u32, zone: u16, cap: u64, but: &[u32]) -> Option<u32> {
+    fn best(&self, shard: u32, zone: u16, cap: Load, but: &[u32]) -> Option<u32> {
         let load = self.loads[shard as usize];
         let mut best = None;
         for sender in self.zones.get(&zone)?.here.iter().copied() {
@@ -265,7 +294,7 @@
             // What costs a look-up is asked last: a better score comes but a few times.
             if best.is_none_or(|(known, _)| score > known)
                 && !but.contains(&sender)
-                && self.load_of(sender) + load <= cap
+                && self.fits(sender, load, cap)
                 && self.is_answering(sender)
             {
                 best = Some((score, sender));
@@ -275,10 +304,11 @@
     }
 
     /// One more owner, beside those that stay.
-    fn another(&mut self, shard: u32, staying: &[u32], cap: u64) -> Option<u32> {
+    fn another(&mut self, shard: u32, staying: &[u32]) -> Option<u32> {
         let places: Vec<Place> =
             staying.iter().filter_map(|s| self.members.get(s)).map(|m| m.place).collect();
         let ranked = self.ranked(shard);
+        let cap = self.cap(self.loads[shard as usize]);
         // Another region, else another zone, else (one zone is all there is) another sender.
         for apart in 0..3 {
             for (zone, region) in &ranked {
@@ -352,7 +382,7 @@
                         let stray = owners.list().iter().find(|owner| {
                             self.members.get(owner).is_none_or(|m| !wanted.contains(&m.place.zone))
                         });
-                        if let (Some(old), Some(new)) = (stray, self.best(shard, *zone, u64::MAX, &[])) {
+                        if let (Some(old), Some(new)) = (stray, self.best(shard, *zone, [u64::MAX; 2], &[])) {
                             self.better.push_back((shard, *old, new));
                         }
                     }
@@ -366,10 +396,9 @@
     pub fn step(&mut self, now: Moment, mut moves: usize) -> Vec<(u32, Owners)> {
         self.look(now);
         let mut changed = Vec::new();
-        let cap = self.cap();
         // A shard that nobody serves waits for nothing.
         while let Some(shard) = self.orphans.pop_front() {
-            self.repair(shard, cap, &mut changed);
+            self.repair(shard, &mut changed);
         }
         let late: Vec<u32> = self
             .joining
@@ -387,15 +416,16 @@
         while moves > 0
             && let Some(shard) = self.lacking.pop_front()
         {
-            moves -= usize::from(self.repair(shard, cap, &mut changed));
+            moves -= usize::from(self.repair(shard, &mut changed));
         }
-        self.shed(cap);
+        self.shed();
         while moves > 0
             && let Some((shard, old, new)) = self.better.pop_front()
         {
             let owners = self.current[shard as usize];
             let stands = owners.has(old) && !owners.has(new) && owners.leaving().is_none();
-            let fits = self.load_of(new) + self.loads[shard as usize] <= cap;
+            let load = self.loads[shard as usize];
+            let fits = self.fits(new, load, self.cap(load));
             if stands && fits && self.is_here(new) && owners.list().len() < MOST_OWNERS {
                 let mut list = owners.list().to_vec();
                 list.push(new);
@@ -408,22 +438,29 @@
     }
 
     /// Whose load has grown over the bound gives up the shards that others are as good for.
-    fn shed(&mut self, cap: u64) {
+    fn shed(&mut self) {
         for sender in std::mem::take(&mut self.grown) {
-            let Some((load, shards)) = self.held.get(&sender).filter(|held| held.0 > cap) else { continue };
-            let mut excess = load - cap;
+            let Some((load, shards)) = self.held.get(&sender) else { continue };
+            let heaviest = shards
+                .iter()
+                .map(|shard| self.loads[*shard as usize])
+                .fold([0; 2], |most, load| [most[0].max(load[0]), most[1].max(load[1])]);
+            let cap = self.cap(heaviest);
+            let mut excess = [load[0].saturating_sub(cap[0]), load[1].saturating_sub(cap[1])];
+            if excess == [0; 2] {
+                continue;
+            }
             let mut shards: Vec<u32> = shards.iter().copied().collect();
             shards.sort_by_key(|shard| score(*shard, sender));
             let mut moves = Vec::new();
             for shard in shards {
                 let (load, owners) = (self.loads[shard as usize], self.current[shard as usize]);
-                // One on its own shard alone has nobody to give it to who would be better off.
-                if excess == 0 || load == 0 || owners.leaving().is_some() {
+                if excess == [0; 2] || load == [0; 2] || owners.leaving().is_some() {
                     continue;
                 }
                 let zone = self.members.get(&sender).map_or(u16::MAX, |member| member.place.zone);
-                if let Some(new) = self.best(shard, zone, cap, owners.list()) {
-                    excess = excess.saturating_sub(load);
+                if let Some(new) = self.best(shard, zone, self.cap(load), owners.list()) {
+                    excess = [excess[0].saturating_sub(load[0]), excess[1].saturating_sub(load[1])];
                     moves.push((shard, sender, new));
                 }
             }
@@ -432,7 +469,7 @@
     }
 
     /// Replaces owners that are gone and adds those that lack; whether anything changed.
-    fn repair(&mut self, shard: u32, cap: u64, changed: &mut Vec<(u32, Owners)>) -> bool {
+    fn repair(&mut self, shard: u32, changed: &mut Vec<(u32, Owners)>) -> bool {
         let owners = self.current[shard as usize];
         let mut list: Vec<u32> = owners.list().iter().copied().filter(|owner| self.is_here(*owner)).collect();
         let leaving = owners.leaving().filter(|leaving| list.contains(leaving));
@@ -440,7 +477,7 @@
         let leaving = leaving.filter(|_| owners.joining().is_some_and(|new| list.contains(&new)));
         let wanted = self.owners + usize::from(leaving.is_some());
         while list.len() < wanted {
-            let Some(new) = self.another(shard, &list, cap) else { break };
+            let Some(new) = self.another(shard, &list) else { break };
             // The last of the list is the one that joins.
             let at = if leaving.is_some() { list.len() - 1 } else { list.len() };
             list.insert(at, new);
@@ -485,10 +522,23 @@
 
     pub fn imbalance(&self) -> Imbalance {
         let here: Vec<u32> = self.zones.values().flat_map(|zone| zone.here.iter().copied()).collect();
-        let loads = || here.iter().map(|sender| self.load_of(*sender));
-        let mean = loads().sum::<u64>() as f64 / here.len().max(1) as f64;
-        let (most, least) = (loads().max().unwrap_or(0), loads().min().unwrap_or(0));
-        let over = |load: u64| load as f64 / mean.max(1e-9);
-        Imbalance { mean, most, least, most_to_mean: over(most), bound_to_mean: over(self.cap()) }
+        let of = |at: usize| {
+            let loads = || here.iter().map(|sender| self.load_of(*sender)[at]);
+            let mean = loads().sum::<u64>() as f64 / here.len().max(1) as f64;
+            let (most, least) = (loads().max().unwrap_or(0), loads().min().unwrap_or(0));
+            let bound = self.cap(self.heaviest)[at] as f64;
+            (mean, most, least, most as f64 / mean.max(1e-9), bound / mean.max(1e-9))
+        };
+        let (mean, most, least, most_to_mean, bound_to_mean) = of(0);
+        let (.., most_destinations_to_mean, destinations_bound_to_mean) = of(1);
+        Imbalance {
+            mean,
+            most,
+            least,
+            most_to_mean,
+            bound_to_mean,
+            most_destinations_to_mean,
+            destinations_bound_to_mean,
+        }
     }
 }
--- a/crates/assignment/src/publisher.rs
+++ b/crates/assignment/src/publisher.rs
@@ -274,6 +274,14 @@
             self.say_refused(now, peer, &hello, replica, Reason::Behind, out);
             return None;
         }
+        // One that has parted goes back to where it had not, if it can; else it comes again with nothing.
+        let last = hello.position.max(hello.seen);
+        if (parted || agreement == Some(Agreement::Parted))
+            && let Some(common) = last.and_then(|last| replica.common_with(last))
+        {
+            self.say_refused(now, peer, &hello, replica, Reason::Parted(common), out);
+            return None;
+        }
         // Who comes again has lost its earlier connection, whether or not that has been noticed here.
         if let Some(before) = self.by_who.get(&hello.who).copied() {
             self.end(before, out);
@@ -309,7 +317,15 @@
         let mut serves = None;
         match hello.who {
             Who::Controller(_) => {}
-            Who::Relay(_) if session.through.is_some() => self.resumed += 1,
+            Who::Relay(_) if session.through.is_some() => {
+                let known = |key: &&Key| match key {
+                    Key::Shard(shard) => *shard < replica.shard_count(),
+                    Key::Destination(_) => true,
+                    _ => false,
+                };
+                hello.suspects.iter().filter(known).for_each(|key| session.queue(0, *key));
+                self.resumed += 1;
+            }
             Who::Relay(_) => {
                 let mut walk = Walk::new(true, replica.position(), None);
                 if let Some(taken) = taken {
@@ -494,7 +510,8 @@
                 session.walk = Some(Walk::new(true, replica.position(), None));
             }
             let behind = session.through.is_none_or(|at| at.revision < replica.revision());
-            let some = session.walk.is_some() || !session.pending.is_empty() || (relay && behind);
+            let asked = session.pending.front().is_some_and(|(revision, _)| !relay || *revision == 0);
+            let some = session.walk.is_some() || asked || (relay && behind);
             if session.unacked > 0 && now.since(session.heard) > MUTE {
                 return None;
             }
@@ -550,6 +567,16 @@
             session.walk = None;
             return records;
         }
+        while let Some((_, key)) = session.pending.front().copied().filter(|(revision, _)| *revision == 0) {
+            let record =
+                Record::Repair(Box::new(replica.record(key, session.through.map_or(0, |at| at.revision))));
+            if record.weight() > left {
+                return records;
+            }
+            left -= record.weight();
+            records.push(record);
+            session.pending.pop_front();
+        }
         let from = session.through.map_or(0, |at| at.revision);
         let mut through = replica.revision();
         let mut last = from;
--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -4,10 +4,10 @@
 //! or one of its senders has heard of.
 
 use crate::budget::{self, Pace};
-use crate::catalog::{Position, Replica};
+use crate::catalog::{Key, Position, Replica};
 use crate::link::{Do, Link};
 use crate::publisher::{self, Heard, Publisher};
-use crate::wire::{Fault, Frame, Hello, Kind, Peer, Record, Refusals, Taken, Up, VERSION, Who};
+use crate::wire::{Fault, Frame, Hello, Kind, Peer, Reason, Record, Refusals, Taken, Up, VERSION, Who};
 use crate::wire::{open_frame, seal_hello, seal_up};
 use indigomast::time::Moment;
 use indigomast_rollout::wire::Secret;
@@ -59,7 +59,11 @@
     replica: Replica,
     /// It has had a whole copy.
     filled: bool,
+    /// That copy is of a history which can't be led back to the one that counts.
+    parted: bool,
     staging: Option<Staging>,
+    /// Forgotten, and not told anew yet: nobody is served meanwhile.
+    suspects: Vec<Key>,
     publisher: Publisher,
     pub refusals: Refusals,
 }
@@ -92,7 +96,9 @@
             seen: filled.then(|| replica.position()),
             replica,
             filled,
+            parted: false,
             staging: None,
+            suspects: Vec::new(),
             publisher,
             refusals: Refusals::default(),
         }
@@ -143,7 +149,7 @@
                 }
             }
             Event::Line(_) => {}
-            Event::SenderLine { peer, .. } if !self.filled => {
+            Event::SenderLine { peer, .. } if !self.filled || !self.suspects.is_empty() => {
                 // Nothing to say yet: others have.
                 below.push(publisher::Action::Drop { peer });
             }
@@ -189,10 +195,11 @@
             who: Who::Relay(self.id),
             challenge,
             epoch: self.epoch,
-            position: self.filled.then(|| self.replica.position()),
+            position: (self.filled && !self.parted).then(|| self.replica.position()),
             seen: self.seen,
             held: Vec::new(),
             taken,
+            suspects: self.suspects.clone(),
             credit: budget::RELAY.burst as u32,
         }
     }
@@ -221,6 +228,25 @@
             let wrong = format!("{}, {} has been heard of", frame.at.epoch, self.epoch);
             return Err(Fault::new(Kind::Epoch, "at.epoch", wrong));
         }
+        if let Some(Record::Refused(Reason::Parted(common))) = frame.records.first() {
+            match self.replica.rewind(*common) {
+                Some(suspects) => {
+                    self.suspects.extend(suspects);
+                    self.suspects.sort_unstable();
+                    self.suspects.dedup();
+                    (self.seen, self.staging) = (self.filled.then(|| self.replica.position()), None);
+                }
+                None => {
+                    // All anew; what there is goes on being served until then.
+                    (self.parted, self.seen, self.staging) = (true, None, None);
+                }
+            }
+            self.epoch = frame.at.epoch;
+            self.publisher.reset(&self.replica, below);
+            self.link.again(now);
+            out.push(Action::Disconnect);
+            return Ok(());
+        }
         if let Some(Record::Refused(reason)) = frame.records.first() {
             let wrong = format!("refused: {reason:?}");
             return Err(Fault::new(Kind::Epoch, "records[0]", wrong));
@@ -267,6 +293,10 @@
                 Record::End | Record::Release(_) | Record::Refused(_) => {
                     return fault("record", "can't stand here".into());
                 }
+                Record::Repair(record) if staged.is_none() => {
+                    self.replica.check(record).map_err(|fault| fault.within(at))?;
+                    continue;
+                }
                 Record::Era(revision, next) => {
                     if *next <= epoch && *revision > last {
                         return fault("epoch", format!("{next} after {epoch}"));
@@ -315,7 +345,23 @@
             Record::End => {
                 if let Some(staging) = self.staging.take() {
                     self.replica = staging.replica;
-                    self.filled = true;
+                    (self.filled, self.parted) = (true, false);
+                    self.suspects.clear();
+                    self.publisher.reset(&self.replica, below);
+                }
+            }
+            Record::Repair(record) => {
+                self.replica.repair(record);
+                let key = match **record {
+                    Record::Put(destination, ..) | Record::Remove(destination, _) => {
+                        Key::Destination(destination)
+                    }
+                    Record::Owners(shard, ..) => Key::Shard(shard),
+                    _ => return,
+                };
+                self.suspects.retain(|suspect| *suspect != key);
+                if self.suspects.is_empty() {
+                    // Who owns what may be another as well.
                     self.publisher.reset(&self.replica, below);
                 }
             }
--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -6,7 +6,7 @@
 use crate::budget::{self, Bucket, Pace};
 use crate::catalog::{Entry, Position, Shard, check_body, shard_of};
 use crate::link::{Do, Link};
-use crate::wire::{Fault, Frame, Hello, Kind, Record, Refusals, Taken, Up, VERSION, Who};
+use crate::wire::{Fault, Frame, Hello, Kind, Reason, Record, Refusals, Taken, Up, VERSION, Who};
 use crate::wire::{open_frame, seal_hello, seal_up};
 use indigomast::time::Moment;
 use indigomast_rollout::wire::{Secret, Way};
@@ -52,6 +52,8 @@
     /// Up to where all that concerns it is in.
     pub position: Option<Position>,
     pub seen: Option<Position>,
+    /// The newest change that was taken in.
+    pub newest: u64,
 }
 
 impl Part {
@@ -77,6 +79,7 @@
     epoch: u32,
     position: Option<Position>,
     seen: Option<Position>,
+    newest: u64,
     records: Vec<Record>,
 }
 
@@ -160,7 +163,8 @@
             let wrong = format!("sender {} of {} shards", saved.sender, saved.shard_count);
             return Err(Fault::meaning("saved.sender", wrong));
         }
-        let mut part = Part { position: saved.position, seen: saved.seen, ..Part::default() };
+        let mut part =
+            Part { position: saved.position, seen: saved.seen, newest: saved.newest, ..Part::default() };
         let mut open = None;
         for (at, record) in saved.records.iter().enumerate() {
             match record {
@@ -205,6 +209,7 @@
             epoch: self.epoch,
             position: self.part.position,
             seen: self.part.seen,
+            newest: self.part.newest,
             records,
         };
         self.secret.seal(Way::FromAgent, &self.saved_name(), &saved)
@@ -305,6 +310,7 @@
             seen: self.part.seen,
             held: self.part.shards.keys().copied().collect(),
             taken,
+            suspects: Vec::new(),
             credit: self.down.level(now).max(0.0) as u32,
         };
         let mut line = seal_hello(&self.secret, &hello);
@@ -332,6 +338,17 @@
             let wrong = format!("{}, {} has been heard of", frame.at.epoch, self.epoch);
             return Err(Fault::new(Kind::Epoch, "at.epoch", wrong));
         }
+        if let [Record::Refused(Reason::Parted(common))] = frame.records[..] {
+            // Heard of, but none of it taken in: the position alone goes back. Else all is told anew; what is in force stays.
+            let clean = self.part.newest <= common.revision && self.staging.is_none();
+            (self.part.position, self.part.seen) =
+                if clean { (Some(common), Some(common)) } else { (None, None) };
+            self.staging = None;
+            self.epoch = frame.at.epoch;
+            self.link.again(now);
+            out.push(Action::Disconnect);
+            return Ok(());
+        }
         if let [Record::Refused(_)] = frame.records[..] {
             // No fault: another relay is asked.
             self.link.failed(now);
@@ -345,6 +362,9 @@
         if !frame.records.is_empty() {
             // What has been taken in may be as new as that, also if the connection ends here.
             self.part.seen = Some(frame.at);
+            let open = self.staging.is_some();
+            let revision = |record: &Record| record.revision().filter(|_| !open).unwrap_or(frame.at.revision);
+            self.part.newest = frame.records.iter().map(revision).fold(self.part.newest, u64::max);
             let changed = self.take(&frame);
             self.changed = true;
             if changed.as_ref().is_none_or(|changed| !changed.is_empty()) {
@@ -523,7 +543,7 @@
                         all = true;
                     }
                 },
-                Record::Era(..) | Record::Refused(_) => {}
+                Record::Era(..) | Record::Repair(_) | Record::Refused(_) => {}
             }
         }
         if all { None } else { changed }
--- a/crates/assignment/src/wire.rs
+++ b/crates/assignment/src/wire.rs
@@ -4,7 +4,7 @@
 //! goes, who subscribes and the challenge that this subscriber drew for the connection, so that no line of another
 //! connection, subscriber or day passes; frames are numbered, so that none is left out or comes twice.
 
-use crate::catalog::{Owners, Position, escaped};
+use crate::catalog::{Key, Owners, Position, escaped};
 use indigomast_rollout::wire::{Secret, Way};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -68,6 +68,9 @@
     /// The shards it has in force; a relay has all or nothing.
     pub held: Vec<u32>,
     pub taken: Option<Taken>,
+    /// What a relay had from a controller that was no longer the one, and has forgotten.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<Key>,
     /// Bytes that it may be sent at once.
     pub credit: u32,
 }
@@ -118,6 +121,8 @@
     },
     /// The lines that follow are of this one; as `Owners`.
     Shard(u32, u64, u32, Owners),
+    /// What was asked for as a suspect, as it stands.
+    Repair(Box<Record>),
     /// The snapshot is whole, and in force from here on.
     End,
     Refused(Reason),
@@ -128,6 +133,8 @@
 pub enum Reason {
     /// The subscriber knows more than this publisher.
     Behind,
+    /// The subscriber has heard what was never said by a controller that counted, after this position.
+    Parted(Position),
     /// So many are served already.
     Full,
     /// Another controller has taken over; this is its epoch as heard here.
@@ -135,6 +142,17 @@
 }
 
 impl Record {
+    /// Of the change that it tells of; None if that may be as new as whoever says so.
+    pub(crate) fn revision(&self) -> Option<u64> {
+        match self {
+            Record::Put(_, revision, ..)
+            | Record::Remove(_, revision)
+            | Record::Common(revision, _)
+            | Record::Owners(_, revision, ..) => Some(*revision),
+            _ => None,
+        }
+    }
+
     /// Bytes within a frame, at the most.
     pub fn weight(&self) -> usize {
         match self {
@@ -142,7 +160,8 @@
             Record::Common(_, body) => 40 + escaped(body),
             Record::Owners(..) | Record::Shard(..) => 112,
             Record::Begin { eras, .. } => 120 + eras.len() * 34,
-            _ => 48,
+            Record::Repair(record) => 14 + record.weight(),
+            _ => 80,
         }
     }
 }
