--- a/crates/assignment/src/publisher.rs
+++ b/crates/assignment/src/publisher.rs
@@ -78,6 +78,8 @@
     queued: HashSet<Key>,
     /// Senders: the shards they have with what was sent.
     holds: BTreeSet<u32>,
+    /// And those that they have and were no owners of for a while, if only a moment: what changed then they were not told.
+    lost: BTreeSet<u32>,
     /// Frames whose acknowledgement says that a shard is served.
     proofs: VecDeque<(u64, u32, u32)>,
     /// Senders: a snapshot of one shard is of a change first made at this revision.
@@ -307,6 +309,7 @@
             pending: VecDeque::new(),
             queued: HashSet::new(),
             holds: BTreeSet::new(),
+            lost: BTreeSet::new(),
             proofs: VecDeque::new(),
             unit: None,
         };
@@ -382,6 +385,7 @@
     /// What a sender lacks that has all of its shards up to this revision.
     fn catch_up(&self, session: &mut Session, part: &BTreeSet<u32>, revision: u64, replica: &Replica) {
         let mut lacking: Vec<(u64, Key)> = Vec::new();
+        let mut gone = Vec::new();
         let walked = |shard: &u32| {
             let walk = session.walk.as_ref().and_then(|walk| walk.shards.as_ref());
             walk.is_some_and(|shards| shards.binary_search(shard).is_ok())
@@ -396,9 +400,17 @@
                 let newer = known.entries.iter().filter(|entry| entry.revision > revision);
                 lacking.extend(newer.map(|entry| (entry.revision, Key::Destination(entry.destination))));
             } else if !walked(shard) {
-                lacking.push((known.revision.max(revision + 1), Key::Shard(*shard)));
+                if held {
+                    gone.push(*shard);
+                }
+                // Whenever that came: what it doesn't have, or has and is no longer told of, is as of that position.
+                lacking.push((revision + 1, Key::Shard(*shard)));
             }
         }
+        for shard in gone {
+            session.holds.remove(&shard);
+            session.lost.insert(shard);
+        }
         if let Some((at, _)) = replica.common
             && at > revision
         {
@@ -459,6 +471,9 @@
         for sender in after.list().iter().chain(gone) {
             if let Some(peer) = self.by_who.get(&Who::Sender(*sender)).copied() {
                 if let Some(session) = self.sessions.get_mut(&peer) {
+                    if !after.has(*sender) && session.holds.remove(&shard) {
+                        session.lost.insert(shard);
+                    }
                     session.queue(replica.revision(), key);
                 }
                 self.wake_sooner(peer, now);
@@ -619,20 +634,21 @@
             }
             let Some((first, key)) = session.pending.front().copied() else { break };
             let held = |shard| session.holds.contains(&shard);
+            let had = |shard| held(shard) || session.lost.contains(&shard);
             let record = match key {
-                Key::Destination(destination) if held(replica.shard_of(destination)) => {
+                Key::Destination(destination) if had(replica.shard_of(destination)) => {
                     Some(replica.record(key, first))
                 }
                 Key::Shard(shard) => match (replica.owners(shard).has(sender), held(shard)) {
                     (true, true) => Some(replica.record(key, first)),
-                    (false, true) => Some(Record::Release(shard)),
                     (true, false) => {
+                        session.lost.remove(&shard);
                         let walk = Walk::new(false, replica.position(), Some(vec![shard]));
                         session.walk = Some(walk);
                         session.unit = Some(first);
                         None
                     }
-                    (false, false) => None,
+                    (false, _) => session.lost.contains(&shard).then_some(Record::Release(shard)),
                 },
                 Key::Common => Some(replica.record(key, first)),
                 _ => None,
@@ -648,7 +664,7 @@
                     session.proofs.push_back((session.number, *shard, *epoch));
                 }
                 if let Record::Release(shard) = record {
-                    session.holds.remove(&shard);
+                    session.lost.remove(&shard);
                 }
                 records.push(record);
             } else if let (Key::Shard(shard), true) = (key, session.walk.is_some()) {
--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -62,6 +62,8 @@
     /// That copy is of a history which can't be led back to the one that counts.
     parted: bool,
     staging: Option<Staging>,
+    /// The staging is of an earlier connection: it goes on only if this controller says so, as its first word.
+    dormant: bool,
     /// Forgotten, and not told anew yet: nobody is served meanwhile.
     suspects: Vec<Key>,
     publisher: Publisher,
@@ -98,6 +100,7 @@
             filled,
             parted: false,
             staging: None,
+            dormant: false,
             suspects: Vec::new(),
             publisher,
             refusals: Refusals::default(),
@@ -186,6 +189,7 @@
     fn hello(&mut self, now: Moment) -> Hello {
         let challenge = self.link.connected(now);
         self.number = 0;
+        self.dormant = self.staging.is_some();
         let taken = self.staging.as_ref().and_then(|staging| {
             let shard = staging.open?;
             Some(Taken { base: staging.base, shard, destination: staging.last, had: Vec::new() })
@@ -256,12 +260,18 @@
         self.link.heard(now);
         self.epoch = frame.at.epoch;
         self.seen = Some(frame.at);
+        if !frame.records.is_empty()
+            && std::mem::take(&mut self.dormant)
+            && !matches!(frame.records[0], Record::Begin { resumed: true, .. })
+        {
+            self.staging = None;
+        }
         for record in &frame.records {
             self.take(now, record, below);
         }
         if let Some(through) = frame.through
             && self.filled
-            && self.staging.is_none()
+            && (self.dormant || self.staging.is_none())
         {
             self.replica.revision = self.replica.revision.max(through.revision);
         }
@@ -271,14 +281,16 @@
 
     /// Nothing of a frame is taken in unless all of it can be.
     fn check(&self, frame: &Frame) -> Result<(), Fault> {
-        let mut staged = self.staging.as_ref().map(|staging| staging.open);
+        let resumes = matches!(frame.records.first(), Some(Record::Begin { resumed: true, .. }));
+        let staging = self.staging.as_ref().filter(|_| !self.dormant || resumes);
+        let mut staged = staging.map(|staging| staging.open);
         let mut last = self.replica.revision();
         let mut epoch = self.replica.epoch();
         for (at, record) in frame.records.iter().enumerate() {
             let fault = |place: &str, wrong: String| Err(Fault::meaning(place, wrong).within(at));
             match record {
                 Record::Begin { resumed, whole, .. } => {
-                    if !whole || (*resumed && self.staging.is_none()) {
+                    if !whole || (*resumed && staging.is_none()) {
                         return fault("begin", "goes on with what isn't there".into());
                     }
                     staged = Some(if *resumed { staged.flatten() } else { None });
--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -94,6 +94,8 @@
     epoch: u32,
     part: Part,
     staging: Option<Staging>,
+    /// The staging is of an earlier connection: it goes on only if this relay says so, as its first word.
+    dormant: bool,
     up: Bucket,
     down: Bucket,
     pace: Pace,
@@ -126,6 +128,7 @@
             epoch: 0,
             part: Part::default(),
             staging: None,
+            dormant: false,
             up: Bucket::new(budget::SENDER_UP_RATE, budget::SENDER_UP_BURST, budget::SENDER_UP_BURST, now),
             down: Bucket::new(pace.rate, pace.burst, pace.burst, now),
             pace,
@@ -297,6 +300,7 @@
         if self.staging.as_ref().is_some_and(|staging| !staging.whole || staging.open.is_none()) {
             self.staging = None;
         }
+        self.dormant = self.staging.is_some();
         let taken = self.staging.as_ref().and_then(|staging| {
             let had = staging.shards.keys().copied().collect();
             Some(Taken { base: staging.base, shard: staging.open?, destination: staging.last, had })
@@ -360,6 +364,11 @@
         self.link.heard(now);
         self.epoch = frame.at.epoch;
         if !frame.records.is_empty() {
+            if std::mem::take(&mut self.dormant)
+                && !matches!(frame.records[0], Record::Begin { resumed: true, .. })
+            {
+                self.staging = None;
+            }
             // What has been taken in may be as new as that, also if the connection ends here.
             self.part.seen = Some(frame.at);
             let open = self.staging.is_some();
@@ -386,11 +395,13 @@
     /// Nothing of a frame is taken in unless all of it can be.
     fn check(&self, frame: &Frame) -> Result<(), Fault> {
         // The shard that lines belong to, while a snapshot is open.
-        let mut open = self.staging.as_ref().map(|staging| staging.open);
-        let mut whole = self.staging.as_ref().is_some_and(|staging| staging.whole);
+        let resumes = matches!(frame.records.first(), Some(Record::Begin { resumed: true, .. }));
+        let staging = self.staging.as_ref().filter(|_| !self.dormant || resumes);
+        let mut open = staging.map(|staging| staging.open);
+        let mut whole = staging.is_some_and(|staging| staging.whole);
         let mut staged: BTreeSet<u32> = BTreeSet::new();
         if !frame.records.is_empty() {
-            staged.extend(self.staging.iter().flat_map(|staging| staging.shards.keys()));
+            staged.extend(staging.iter().flat_map(|staging| staging.shards.keys()));
         }
         let mut swapped = false;
         let (mut added, mut released) = (BTreeSet::new(), BTreeSet::new());
