--- a/crates/assignment/src/placement.rs
+++ b/crates/assignment/src/placement.rs
@@ -83,6 +83,8 @@
     newcomers: BTreeSet<u32>,
     /// Whose load has grown, and may be over the bound.
     grown: BTreeSet<u32>,
+    /// The mean is lower than it was: whoever was within the bound may not be.
+    fell: bool,
     /// Shards without any owner that is there, shards that lack one, and moves to better ones.
     orphans: VecDeque<u32>,
     lacking: VecDeque<u32>,
@@ -119,6 +121,7 @@
             lingering: BTreeSet::new(),
             newcomers: BTreeSet::new(),
             grown: BTreeSet::new(),
+            fell: false,
             orphans: VecDeque::new(),
             lacking: VecDeque::new(),
             better: VecDeque::new(),
@@ -153,6 +156,7 @@
     pub fn load(&mut self, shard: u32, load: Load) {
         let before = std::mem::replace(&mut self.loads[shard as usize], load);
         self.total = plus(minus(self.total, before), load);
+        self.fell |= load[0] < before[0] || load[1] < before[1];
         self.heaviest = [self.heaviest[0].max(load[0]), self.heaviest[1].max(load[1])];
         for sender in self.current[shard as usize].list() {
             if let Some(held) = self.held.get_mut(sender) {
@@ -305,6 +309,19 @@
 
     /// One more owner, beside those that stay.
     fn another(&mut self, shard: u32, staying: &[u32]) -> Option<u32> {
+        if let Some(sender) = self.within_bound(shard, staying) {
+            return Some(sender);
+        }
+        let here = self.zones.values().flat_map(|zone| &zone.here);
+        let least = here
+            .filter(|sender| !staying.contains(sender) && self.is_answering(**sender))
+            .min_by_key(|sender| (self.load_of(**sender), **sender))
+            .copied()?;
+        self.beyond_bound += 1;
+        Some(least)
+    }
+
+    fn within_bound(&self, shard: u32, staying: &[u32]) -> Option<u32> {
         let places: Vec<Place> =
             staying.iter().filter_map(|s| self.members.get(s)).map(|m| m.place).collect();
         let ranked = self.ranked(shard);
@@ -322,15 +339,7 @@
                 }
             }
         }
-        let least = self
-            .zones
-            .values()
-            .flat_map(|zone| &zone.here)
-            .filter(|sender| !staying.contains(sender) && self.is_answering(**sender))
-            .min_by_key(|sender| (self.load_of(**sender), **sender))
-            .copied()?;
-        self.beyond_bound += 1;
-        Some(least)
+        None
     }
 
     /// Whose linger has passed is no owner any more; newcomers are weighed against those in place.
@@ -355,7 +364,7 @@
         if self.newcomers.is_empty() {
             return;
         }
-        self.grown.extend(self.held.keys());
+        self.fell = true;
         let newcomers = std::mem::take(&mut self.newcomers);
         let mut by_zone: BTreeMap<u16, Vec<u32>> = BTreeMap::new();
         for sender in newcomers {
@@ -432,6 +441,9 @@
                 self.joining.insert(shard, now);
                 self.assign(shard, Owners::new(&list, Some(old)), &mut changed);
                 moves -= 1;
+            } else if stands {
+                // Others got there first: if it is for its load that this one moves, another place is looked for.
+                self.grown.insert(old);
             }
         }
         changed
@@ -439,6 +451,11 @@
 
     /// Whose load has grown over the bound gives up the shards that others are as good for.
     fn shed(&mut self) {
+        if std::mem::take(&mut self.fell) {
+            let cap = self.cap([0; 2]);
+            let over = |load: Load| load[0] > cap[0] || load[1] > cap[1];
+            self.grown.extend(self.held.iter().filter(|(_, held)| over(held.0)).map(|(sender, _)| *sender));
+        }
         for sender in std::mem::take(&mut self.grown) {
             let Some((load, shards)) = self.held.get(&sender) else { continue };
             let heaviest = shards
@@ -459,7 +476,10 @@
                     continue;
                 }
                 let zone = self.members.get(&sender).map_or(u16::MAX, |member| member.place.zone);
-                if let Some(new) = self.best(shard, zone, self.cap(load), owners.list()) {
+                let rest: Vec<u32> = owners.list().iter().copied().filter(|owner| *owner != sender).collect();
+                let near = self.best(shard, zone, self.cap(load), owners.list());
+                let new = near.or_else(|| self.within_bound(shard, &rest).filter(|new| *new != sender));
+                if let Some(new) = new {
                     excess = [excess[0].saturating_sub(load[0]), excess[1].saturating_sub(load[1])];
                     moves.push((shard, sender, new));
                 }
--- a/crates/assignment/src/publisher.rs
+++ b/crates/assignment/src/publisher.rs
@@ -358,6 +358,14 @@
                     self.taken_up += 1;
                 } else if let Some(position) = session.through {
                     session.holds = hello.held.iter().copied().collect();
+                    // What it took from one who was no longer the controller is told anew, or taken from it.
+                    for suspect in &hello.suspects {
+                        if let Key::Shard(shard) = suspect
+                            && session.holds.remove(shard)
+                        {
+                            session.lost.insert(*shard);
+                        }
+                    }
                     self.catch_up(&mut session, &part, position.revision, replica);
                     self.resumed += 1;
                     let joining = |shard: &&u32| {
@@ -390,7 +398,8 @@
             let walk = session.walk.as_ref().and_then(|walk| walk.shards.as_ref());
             walk.is_some_and(|shards| shards.binary_search(shard).is_ok())
         };
-        for shard in part.union(&session.holds) {
+        let known: BTreeSet<u32> = part.iter().chain(&session.holds).chain(&session.lost).copied().collect();
+        for shard in &known {
             let known = &replica.shards[*shard as usize];
             let (owned, held) = (part.contains(shard), session.holds.contains(shard));
             if owned && held {
--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -4,16 +4,20 @@
 //! stays in force. What it has saved is where it goes on after a restart: then changes are told, no snapshot.
 
 use crate::budget::{self, Bucket, Pace};
-use crate::catalog::{Entry, Position, Shard, check_body, shard_of};
+use crate::catalog::{Entry, Key, Position, Shard, check_body, shard_of};
 use crate::link::{Do, Link};
 use crate::wire::{Fault, Frame, Hello, Kind, Reason, Record, Refusals, Taken, Up, VERSION, Who};
 use crate::wire::{open_frame, seal_hello, seal_up};
 use indigomast::time::Moment;
 use indigomast_rollout::wire::{Secret, Way};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+/// Shards touched lately that are remembered, and so many that are told one by one if they must be told anew.
+const MOST_RECENT: usize = 64;
+const MOST_SUSPECTS: usize = 32;
+
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
     Tick,
@@ -96,6 +100,11 @@
     staging: Option<Staging>,
     /// The staging is of an earlier connection: it goes on only if this relay says so, as its first word.
     dormant: bool,
+    /// Shards that were touched, by where the relay stood that said so; what came before `recent_from` isn't in it.
+    recent: VecDeque<(u64, u32)>,
+    recent_from: u64,
+    /// Shards that a controller touched which was no longer the one: told anew before anything else of them counts.
+    suspects: BTreeSet<u32>,
     up: Bucket,
     down: Bucket,
     pace: Pace,
@@ -129,6 +138,9 @@
             part: Part::default(),
             staging: None,
             dormant: false,
+            recent: VecDeque::new(),
+            recent_from: 0,
+            suspects: BTreeSet::new(),
             up: Bucket::new(budget::SENDER_UP_RATE, budget::SENDER_UP_BURST, budget::SENDER_UP_BURST, now),
             down: Bucket::new(pace.rate, pace.burst, pace.burst, now),
             pace,
@@ -183,6 +195,7 @@
                 _ => return Err(Fault::meaning("record", "can't stand here").within(at)),
             }
         }
+        self.recent_from = part.newest;
         self.part = part;
         self.epoch = self.epoch.max(saved.epoch);
         Ok(())
@@ -210,8 +223,9 @@
             sender: self.id,
             shard_count: self.shard_count,
             epoch: self.epoch,
-            position: self.part.position,
-            seen: self.part.seen,
+            // With some of it in doubt another life begins as one that knows no position.
+            position: self.part.position.filter(|_| self.suspects.is_empty()),
+            seen: self.part.seen.filter(|_| self.suspects.is_empty()),
             newest: self.part.newest,
             records,
         };
@@ -237,6 +251,11 @@
         &self.part
     }
 
+    /// Shards that stand as a controller said which was no longer the one, until they are told anew.
+    pub fn in_doubt(&self) -> &BTreeSet<u32> {
+        &self.suspects
+    }
+
     pub fn epoch(&self) -> u32 {
         self.epoch
     }
@@ -314,13 +333,14 @@
             seen: self.part.seen,
             held: self.part.shards.keys().copied().collect(),
             taken,
-            suspects: Vec::new(),
+            suspects: self.suspects.iter().map(|shard| Key::Shard(*shard)).collect(),
             credit: self.down.level(now).max(0.0) as u32,
         };
         let mut line = seal_hello(&self.secret, &hello);
         if line.len() as f64 >= budget::SENDER_UP_BURST {
             // More shards than there is room to name: told all anew, which costs more and is right as well.
             (hello.position, hello.held, hello.taken) = (None, Vec::new(), None);
+            hello.suspects.clear();
             line = seal_hello(&self.secret, &hello);
         }
         let when = self.up.when(now, (line.len() + 1) as f64);
@@ -343,10 +363,19 @@
             return Err(Fault::new(Kind::Epoch, "at.epoch", wrong));
         }
         if let [Record::Refused(Reason::Parted(common))] = frame.records[..] {
-            // Heard of, but none of it taken in: the position alone goes back. Else all is told anew; what is in force stays.
-            let clean = self.part.newest <= common.revision && self.staging.is_none();
-            (self.part.position, self.part.seen) =
-                if clean { (Some(common), Some(common)) } else { (None, None) };
+            // What was touched since is told anew, and all if that isn't known; what is in force stays until then.
+            let known = self.recent_from <= common.revision && self.staging.is_none();
+            let touched = self.recent.iter().filter(|(revision, _)| *revision > common.revision);
+            let held = |shard: &u32| self.part.shards.contains_key(shard);
+            self.suspects.extend(touched.map(|(_, shard)| *shard).filter(held));
+            let known = known && self.suspects.len() <= MOST_SUSPECTS;
+            if !known {
+                self.suspects.clear();
+            }
+            let before = self.part.position.filter(|_| known);
+            self.part.position = before.map(|at| if at.revision < common.revision { at } else { common });
+            self.part.seen = known.then_some(common);
+            (self.recent_from, self.recent) = (self.recent_from.min(common.revision), VecDeque::new());
             self.staging = None;
             self.epoch = frame.at.epoch;
             self.link.again(now);
@@ -374,6 +403,7 @@
             let open = self.staging.is_some();
             let revision = |record: &Record| record.revision().filter(|_| !open).unwrap_or(frame.at.revision);
             self.part.newest = frame.records.iter().map(revision).fold(self.part.newest, u64::max);
+            self.touch(&frame);
             let changed = self.take(&frame);
             self.changed = true;
             if changed.as_ref().is_none_or(|changed| !changed.is_empty()) {
@@ -392,6 +422,39 @@
         Ok(())
     }
 
+    /// Notes which shards a frame touches, for the case that it shouldn't have.
+    fn touch(&mut self, frame: &Frame) {
+        let at = frame.at.revision;
+        for record in &frame.records {
+            let shard = match record {
+                Record::Begin { whole: true, .. } | Record::Common(..) => {
+                    self.recent_from = self.recent_from.max(at);
+                    continue;
+                }
+                Record::Put(destination, ..) | Record::Remove(destination, _) => self.shard_of(*destination),
+                Record::Owners(shard, ..) | Record::Shard(shard, ..) | Record::Release(shard) => *shard,
+                _ => continue,
+            };
+            if self.staging.as_ref().is_some_and(|staging| staging.whole) {
+                self.recent_from = self.recent_from.max(at);
+                continue;
+            }
+            if let Record::Shard(..) | Record::Release(..) = record {
+                self.suspects.remove(&shard);
+            }
+            self.recent.retain(|(_, known)| *known != shard);
+            self.recent.push_back((at, shard));
+            if self.recent.len() > MOST_RECENT
+                && let Some((at, _)) = self.recent.pop_front()
+            {
+                self.recent_from = self.recent_from.max(at);
+            }
+        }
+        if frame.records.iter().any(|record| matches!(record, Record::Begin { whole: true, .. })) {
+            self.suspects.clear();
+        }
+    }
+
     /// Nothing of a frame is taken in unless all of it can be.
     fn check(&self, frame: &Frame) -> Result<(), Fault> {
         // The shard that lines belong to, while a snapshot is open.
