--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -439,7 +439,7 @@
                 self.recent_from = self.recent_from.max(at);
                 continue;
             }
-            if let Record::Shard(..) | Record::Release(..) = record {
+            if let Record::Release(_) = record {
                 self.suspects.remove(&shard);
             }
             self.recent.retain(|(_, known)| *known != shard);
@@ -450,9 +450,6 @@
                 self.recent_from = self.recent_from.max(at);
             }
         }
-        if frame.records.iter().any(|record| matches!(record, Record::Begin { whole: true, .. })) {
-            self.suspects.clear();
-        }
     }
 
     /// Nothing of a frame is taken in unless all of it can be.
@@ -563,6 +560,7 @@
                 }
                 Record::End => {
                     let Some(staging) = self.staging.take() else { continue };
+                    self.suspects.retain(|shard| !staging.whole && !staging.shards.contains_key(shard));
                     if staging.whole {
                         self.part.shards = staging.shards;
                         self.part.common = staging.common;
