--- a/crates/assignment/src/panel.rs
+++ b/crates/assignment/src/panel.rs
@@ -181,7 +181,7 @@
         now.saturating_sub(report.process_bytes_before_senders) as f64 / f64::from(senders);
 
     panel.case("nothing happens", |world| world.run(secs(30.0)));
-    let idle = panel.world.work;
+    let idle = panel.world.worked;
     let idle_s = panel.report.cases.last().map_or(1.0, |case| case.seconds);
     panel.case("0.76 changes a second", |world| world.run_with_changes(secs(120.0), 0.76));
     panel.case("76 changes a second", |world| world.run_with_changes(secs(60.0), 76.0));
--- a/crates/assignment/src/publisher.rs
+++ b/crates/assignment/src/publisher.rs
@@ -342,8 +342,10 @@
             }
             Who::Sender(sender) => {
                 let part = self.parts.get(&sender).cloned().unwrap_or_default();
+                // Where it broke off within a shard that is no longer its own, the rest of that would never come.
                 if let Some(taken) = taken
                     && session.through.is_none()
+                    && part.contains(&taken.shard)
                 {
                     let rest: Vec<u32> = part.range(taken.shard..).copied().collect();
                     let begun = rest.first() == Some(&taken.shard);
--- a/crates/cli/src/assignment.rs
+++ b/crates/cli/src/assignment.rs
@@ -125,10 +125,12 @@
 
 pub fn run(arguments: Arguments) -> Done {
     let Arguments { senders, destinations, relays, shards, seed, json } = arguments;
-    let least = (senders < 100, "--senders: 100 or more", relays < 4, "--relays: 4 or more");
-    if least.0 || least.2 {
-        let complaint = if least.0 { least.1 } else { least.3 };
-        return Err(Failure::Complaint(complaint.into()));
+    for (name, given, least) in
+        [("senders", senders, 100), ("destinations", destinations, 100), ("relays", relays, 4)]
+    {
+        if given < least {
+            return Err(Failure::Complaint(format!("--{name}: {given}, {least} or more are needed")));
+        }
     }
     let shards = shards.unwrap_or_else(|| (senders * 8).next_power_of_two());
     let settings = Settings { shards, ..Settings::default() };
