--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -74,6 +74,8 @@
         #[arg(long)]
         html: PathBuf,
     },
+    /// Which senders serve which destinations: all hard cases in simulated time, at any size
+    Assignment(crate::assignment::Arguments),
     /// A table of service by scenario and policy, of several files of runs
     Table { runs: Vec<PathBuf> },
     /// What a role costs by its size: points, a line through them, and how far it reaches
@@ -314,6 +316,7 @@
         }
         Command::Report { runs, html } => write(&html, &report::html(&read(&runs)?)?),
         Command::Scale { role, to, seed, daemon, json } => scale(role, to, seed, daemon, json),
+        Command::Assignment(arguments) => crate::assignment::run(arguments),
         Command::Table { runs } => {
             let mut all = Runs::default();
             for path in &runs {
