--- a/crates/assignment/tests/hard_cases.rs
+++ b/crates/assignment/tests/hard_cases.rs
@@ -106,13 +106,14 @@
         world.mark();
         world.run(secs(3));
         // In the middle: connected, and nothing in force.
-        let in_the_middle =
-            served.iter().filter(|s| world.relay_of(**s) == Some(1) && world.sender(**s).part().is_empty());
+        let in_the_middle = served
+            .iter()
+            .filter(|s| world.relay_of(**s) == Some(1) && world.sender(**s).part().shards.is_empty());
         assert!(in_the_middle.count() > 0);
         world.kill(Node::Relay(1));
         world.run(Span::millis(500));
         for sender in &served {
-            assert!(world.sender(*sender).part().is_empty(), "half a part is in force");
+            assert!(world.sender(*sender).part().shards.is_empty(), "half a part is in force");
         }
         for _ in 0..20 {
             world.change_some();
