--- a/crates/assignment/examples/ways.rs
+++ b/crates/assignment/examples/ways.rs
@@ -13,6 +13,9 @@
 const SHARDS: u32 = 1 << 17;
 const ZONES: u32 = 10;
 
+/// Whoever is here, to the sender of each shard.
+type Way = fn(&[u32]) -> Vec<u32>;
+
 fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -110,7 +113,7 @@
         ("zone", (0..SENDERS / ZONES).map(|n| n * ZONES + 3).collect()),
     ];
     let everybody: Vec<u32> = (0..SENDERS).collect();
-    let ways: [(&str, fn(&[u32]) -> Vec<u32>); 4] =
+    let ways: [(&str, Way); 4] =
         [("modulo", modulo), ("rendezvous", rendezvous), ("jump", jump), ("maglev", maglev)];
     for (name, way) in ways {
         let began = Instant::now();
