Cold budgets add up to the whole; a start goes gently where texts wait from before

Cause: a part of a budget was 1.2 of an equal one, and without a known rate 1.2 x 2 of what is handed in, which swells with nacks; a process that starts knows nothing and sends all it finds at once. Change: an equal part is the whole of it; without a rate 1.5 of what is handed in (and of what was found over the cold span, at least). A destination for which a start finds a text that was not merely out begins as if just back.

Tried and left out: first trials spread over the gap; a lane one strike short of down taken for cold, which mends most of it but lets one dead endpoint hold back the others (a test says so).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,10 +34,10 @@
 const FAR_APART: Span = Span::millis(1_000);
 /// After a quick failure a lane rests so long, or as its part of the rate asks if that is less.
 const SECOND_LOOK: Span = Span::millis(1_500);
-/// What a sender uses of its part in a cold budget, which goes by capacity; the rate known is less than that.
-const COLD_PART: f64 = 1.2;
 /// Where no rate is known, what a sender is handed at its peaks is this much over its mean.
 const PEAK: f64 = 2.0;
+/// And what a cold one takes as its whole, as it is trusted with no peak then: less than what it was sized for.
+const COLD_PEAK: f64 = 1.5;
 /// Calls a second that a warm destination is trusted to take, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
@@ -137,6 +137,8 @@
     units: f64,
     rank: Option<Rank>,
     look_at: Option<Moment>,
+    /// An earlier process left texts here: why they wait is not known, and lanes begin as if cold.
+    gentle: bool,
 }
 
 /// Fresh before rescheduled, then the fewest calls out, then the newest text.
@@ -218,14 +220,10 @@
         self.last_ok = now;
         // One success among failures is no end of an outage.
         self.strikes = if self.state == State::Sound { 0 } else { self.strikes / 2 };
-        match self.state {
-            State::Down => {
-                self.state = State::Back;
-                self.since = now;
-                self.next = now + turn;
-            }
-            State::Back if now.since(self.since) >= cold => self.state = State::Sound,
-            _ => {}
+        if self.state == State::Down {
+            (self.state, self.since, self.next) = (State::Back, now, now + turn);
+        } else if self.state == State::Back && now.since(self.since) >= cold {
+            self.state = State::Sound;
         }
     }
 }
@@ -333,17 +331,14 @@
     /// One overload answers many calls at once; those that left before the last cut count with it.
     fn cut(&mut self, now: Moment, sent: Moment) {
         if sent >= self.cut_at {
-            self.window = (self.window / 2).max(1);
-            self.delivered = 0;
-            self.cut_at = now;
+            (self.window, self.delivered, self.cut_at) = ((self.window / 2).max(1), 0, now);
         }
     }
 
     fn grow(&mut self, slots: usize) {
         self.delivered += 1;
         if self.delivered >= self.window {
-            self.delivered = 0;
-            self.window = (self.window + 1).min(self.cap(slots));
+            (self.window, self.delivered) = ((self.window + 1).min(self.cap(slots)), 0);
         }
     }
 
@@ -377,10 +372,9 @@
 
     pub fn learnt(&self) -> Learnt {
         let rests = self.keys.iter().filter_map(|(id, key)| Some((*id, key.rest_until?)));
-        let asked = self.holds.iter().map(|(id, hold)| (*id, hold.asked, hold.asked_at));
-        let (asked, rests) = (asked.collect(), rests.collect());
+        let asked = self.holds.iter().map(|(id, hold)| (*id, hold.asked, hold.asked_at)).collect();
         let (endpoints, lanes, lost) = (self.endpoints.clone(), self.lanes.clone(), self.lost.clone());
-        Learnt { endpoints, lanes, lost, asked, rests, started: self.started }
+        Learnt { endpoints, lanes, lost, asked, rests: rests.collect(), started: self.started }
     }
 
     /// Goes on with what another process has learnt, of which no call is out any more.
@@ -459,8 +453,7 @@
             self.asks_failed += 1;
             let pause = FIRST_ASK * f64::from(1 << (self.asks_failed - 1).min(6));
             let pause = pause.min(self.settings.must_ask_in.max(FIRST_ASK)) * (0.5 + self.chance.share());
-            self.dues.insert((self.now + pause, Due::Ask));
-            return;
+            return self.dues.extend([(self.now + pause, Due::Ask)]);
         }
         self.asks_failed = 0;
         if scope != Scope::Partial {
@@ -477,8 +470,7 @@
                 hold.endpoints.push(entry.endpoint);
             }
             self.touched.insert(endpoint.dest);
-            endpoint.units = entry.units;
-            endpoint.running = entry.condition == Condition::Running;
+            (endpoint.units, endpoint.running) = (entry.units, entry.condition == Condition::Running);
         }
         let mut withheld = Vec::new();
         for dest in &self.touched {
@@ -535,8 +527,9 @@
         self.texts.insert(id, text);
         let now = self.now;
         let hold = self.holds.entry(dest).or_default();
-        hold.asked = hold.asked * hold.faded(now) + f64::from(u8::from(!resumed));
-        hold.asked_at = now;
+        (hold.asked, hold.asked_at) = (hold.asked * hold.faded(now) + f64::from(u8::from(!resumed)), now);
+        // What was out alone tells of no outage.
+        hold.gentle |= resumed && !untold && (submits != 1 || doubt.is_none());
         self.count_held(dest, 1);
         self.put(id, Place::Behind);
         match key {
@@ -724,10 +717,8 @@
 
     fn outcome(&mut self, outcome: Outcome) {
         let id = outcome.text;
-        let Some(text) = self.texts.get_mut(&id) else { return };
-        if outcome.submit + 1 != text.submits {
-            return;
-        }
+        let said = |text: &&mut Text| outcome.submit + 1 == text.submits;
+        let Some(text) = self.texts.get_mut(&id).filter(said) else { return };
         let Some(call_id) = text.out.take() else { return };
         let call = self.calls.get_mut(&call_id).expect("a submit that is out has its call");
         let Call { sent, endpoint, cut_short, .. } = *call;
@@ -826,8 +817,7 @@
         let endpoint = self.endpoints.get_mut(&endpoint_id).expect("known");
         let lane = self.lanes.get_mut(&lane_id).expect("a lane with calls out stays");
         if let Some(allowance) = outcome.allowance {
-            lane.told_rate = allowance.calls_per_sec;
-            lane.pace = start.unwrap_or(lane.pace);
+            (lane.told_rate, lane.pace) = (allowance.calls_per_sec, start.unwrap_or(lane.pace));
             // Of many senders each sees only here what the others do: a full comes when the limit is used up.
             if scarce && sent >= lane.cut_at {
                 let eased = lane.pace * (1.0 - EASING * (1.0 - allowance.share_left / SCARCE));
@@ -855,12 +845,7 @@
                 if self.risen.len() > TELLING {
                     self.risen.pop_front();
                 }
-                if slow {
-                    lane.cut(now, sent);
-                } else {
-                    lane.grow(slots);
-                }
-                return;
+                return if slow { lane.cut(now, sent) } else { lane.grow(slots) };
             }
             // Texts with little time left would mark a sound but unhurried receiver down.
             Verdict::TimeOut if cut_short && outcome.latency < lane.patience() => return,
@@ -890,8 +875,8 @@
         let shared = lane_id.1.is_some()
             || others().count() == 0
             || others().any(|id| self.endpoints[id].health.strikes > 0);
-        let spare = (STRIKES_OUT - 1).saturating_sub(lane.health.strikes);
-        lane.health.failed(now, sent, if shared { weight } else { weight.min(spare) }, silent, jitter);
+        let most = if shared { weight } else { (STRIKES_OUT - 1).saturating_sub(lane.health.strikes) };
+        lane.health.failed(now, sent, weight.min(most), silent, jitter);
         // Each of many senders meets too little to find a receiver down; together they would push it over.
         let quick = matches!(outcome.verdict, Verdict::ConnectFailed | Verdict::Reset | Verdict::Error);
         if shared && quick && lane.health.struck_at == now {
@@ -969,11 +954,15 @@
 
     /// Pause between two calls to a cold receiver. Demand swells with nacks: a known rate is parted.
     fn cold_gap(&self, id: LaneId, since: Moment) -> Span {
-        let warmth = (self.now.since(since).as_secs() / self.settings.cold_span.as_secs().max(1e-3)).min(1.0);
+        let cold_span = self.settings.cold_span.as_secs().max(1e-3);
+        let warmth = (self.now.since(since).as_secs() / cold_span).min(1.0);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * warmth;
         let equal = self.known_rate(id) / self.settings.senders.max(1) as f64;
-        let part = if equal > 0.0 { equal } else { self.part(id) };
-        let budget = self.settings.tip_multiple * share * part * COLD_PART;
+        // A process that has just begun goes by what it finds.
+        let found = self.holds.get(&id.0).map_or(0.0, |hold| hold.held as f64) / cold_span;
+        let least = found.max(LEAST_RATE / self.settings.senders.max(1) as f64);
+        let part = if equal > 0.0 { equal } else { (self.demand(id.0) * COLD_PEAK).max(least) };
+        let budget = self.settings.tip_multiple * share * part;
         Span::from_millis(1000.0 / budget.max(1e-3))
     }
 
@@ -1018,9 +1007,7 @@
             let recency = if struck > 0 { Ok(at.last_used) } else { Err(Reverse(at.last_used)) };
             let down = at.health.state == State::Down;
             let rank = (lane_out, struck, at.calls.len(), down, recency, id);
-            if best.as_ref().is_none_or(|least| rank < *least) {
-                best = Some(rank);
-            }
+            best = best.into_iter().chain([rank]).min();
         }
         let best = best.ok_or(opens)?;
         Ok(((hold.fresh.is_empty(), best.0, Reverse(*newest), dest), best.5))
@@ -1031,9 +1018,7 @@
         let picked = self.pick(dest, passed);
         let hold = self.holds.get_mut(&dest).expect("what is touched has a hold");
         let rank = picked.as_ref().ok().map(|(rank, _)| *rank);
-        if let Some(old) = std::mem::replace(&mut hold.rank, rank) {
-            self.line.remove(&old);
-        }
+        std::mem::replace(&mut hold.rank, rank).map(|old| self.line.remove(&old));
         self.line.extend(rank);
         if let Err(Some(at)) = picked
             && hold.look_at.is_none_or(|look| at < look)
@@ -1047,6 +1032,9 @@
         // Endpoints that none of the texts held may go to, as where only one zone remembers a reference.
         let mut passed = BTreeSet::new();
         for dest in std::mem::take(&mut self.touched) {
+            if self.holds[&dest].gentle {
+                self.start_gently(dest);
+            }
             self.line_up(dest, &passed);
         }
         while !self.quiet
@@ -1066,16 +1054,31 @@
         self.touched.clear();
     }
 
+    fn open_lane(&mut self, id: LaneId, health: Health) {
+        let pace = self.first_pace(id, self.known_rate(id));
+        self.lanes.entry(id).or_insert_with(|| {
+            self.dues.insert((self.now + QUIET_SPELL, Due::Idle(id)));
+            Lane { window: (self.settings.slots / 2).max(1), pace, health, ..Lane::default() }
+        });
+    }
+
+    /// Guards against many processes that start at once, each with texts for what is just back and none that
+    /// knows of it. May hold back what was never cold.
+    fn start_gently(&mut self, dest: DestId) {
+        for endpoint in self.holds[&dest].endpoints.clone() {
+            let (id, since) = (self.lane_of(endpoint), self.now);
+            let next = since + self.turn(id);
+            self.open_lane(id, Health { state: State::Back, since, next, ..Health::default() });
+        }
+        let hold = self.holds.get_mut(&dest).expect("looked at");
+        hold.gentle = hold.endpoints.is_empty();
+    }
+
     /// One call, filled with as many of the texts held as it carries.
     fn call(&mut self, dest: DestId, endpoint: EndpointId) -> bool {
         let lane_id = self.lane_of(endpoint);
-        let start = self.first_pace(lane_id, self.known_rate(lane_id));
-        self.lanes.entry(lane_id).or_insert_with(|| {
-            self.dues.insert((self.now + QUIET_SPELL, Due::Idle(lane_id)));
-            Lane { window: (self.settings.slots / 2).max(1), pace: start, ..Lane::default() }
-        });
-        let at = &self.endpoints[&endpoint];
-        let (kind, zone) = (at.kind, at.zone);
+        self.open_lane(lane_id, Health::default());
+        let Endpoint { kind, zone, .. } = self.endpoints[&endpoint];
         let hold = &self.holds[&dest];
         // A trial call most likely leaves its texts in doubt: one is enough, a once-only one last of all.
         let down = self.lanes[&lane_id].health.state == State::Down;
@@ -1133,15 +1136,13 @@
         let own_gap = self.cold_gap(lane_id, warm_from(&self.endpoints[&endpoint].health)) * parts;
         let at = self.endpoints.get_mut(&endpoint).expect("known");
         at.calls.insert(call);
-        at.last_used = self.now;
-        at.health.next = at.health.next.max(self.now + own_gap);
+        (at.last_used, at.health.next) = (self.now, at.health.next.max(self.now + own_gap));
         let lane = self.lanes.get_mut(&lane_id).expect("made above");
         lane.calls.insert(call);
-        lane.last_used = self.now;
+        (lane.last_used, lane.health.next) = (self.now, lane.health.next.max(self.now + lane_gap));
         if lane.pace > 0.0 {
             lane.paced = lane.paced.max(self.now) + Span::from_millis(1000.0 / lane.pace);
         }
-        lane.health.next = lane.health.next.max(self.now + lane_gap);
         self.dues.insert((self.now + lane.patience(), Due::Overdue(call)));
         let (sent, texts_out, texts, judged) = (self.now, chosen.len(), chosen, false);
         self.calls.insert(call, Call { endpoint, sent, texts_out, texts, judged, cut_short });
