--- a/crates/lab/tests/stages.rs
+++ b/crates/lab/tests/stages.rs
@@ -32,6 +32,7 @@
     for name in [
         "calm",
         "cold-return",
+        "cold-restart",
         "lopsided-slow",
         "hang",
         "list-late",
@@ -58,6 +59,25 @@
     }
 }
 
+/// Most senders are killed just after a gateway is back, and start with texts that waited for it and no knowledge of it.
+#[test]
+fn processes_that_start_in_a_ramp_push_nothing_over() {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/cold-restart.toml");
+    let text = std::fs::read_to_string(path).expect("a scenario");
+    let large = text
+        .replace("senders = 20", "senders = 30")
+        .replace("per_second = 300", "per_second = 900")
+        .replace("11, 12, 13]", "11, 12, 13, 14, 15, 16, 17, 18, 19, 20]");
+    assert_eq!(large.lines().filter(|line| !text.contains(line)).count(), 3);
+    for (size, text) in [("20 senders", text), ("30 senders", large)] {
+        let scenario = Scenario::parse(&text).expect("good");
+        let asked: Vec<_> = (1..5).map(|seed| (Name::Module, seed)).collect();
+        for run in simulated::run_all(&scenario, &asked, 4) {
+            assert_eq!((run.falls.len(), &run.breaches[..]), (0, &[][..]), "{size}, seed {}", run.seed);
+        }
+    }
+}
+
 #[test]
 fn a_sender_known_to_be_bad_is_found_out_in_each_scenario_meant_for_it() {
     let cases = [
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -962,14 +962,15 @@
         let found = self.holds.get(&id.0).map_or(0.0, |hold| hold.held as f64) / cold_span;
         let least = found.max(LEAST_RATE / self.settings.senders.max(1) as f64);
         let part = if equal > 0.0 { equal } else { (self.demand(id.0) * COLD_PEAK).max(least) };
-        let budget = self.settings.tip_multiple * share * part;
-        Span::from_millis(1000.0 / budget.max(1e-3))
+        let slowest = if equal > 0.0 { 1e-3 } else { 2.0 / cold_span };
+        Span::from_millis(1000.0 / (self.settings.tip_multiple * share * part).max(slowest))
     }
 
     /// Senders take turns at what has just come back: each starts its part of the gap later than the last.
     fn turn(&self, id: LaneId) -> Span {
         let number = (self.settings.ordinal + 1) as f64;
-        self.cold_gap(id, self.now) * (number / self.settings.senders.max(1) as f64)
+        self.cold_gap(id, self.now).min(self.settings.cold_span * 0.5)
+            * (number / self.settings.senders.max(1) as f64)
     }
 
     /// Guards against silent receivers that draw in slots until the first time-out; one slow call may hurt.
