Sockets: a report that goes again while the test looks elsewhere is answered too

Cause, in the test: it holds a report unanswered while it waits for another text. Held for more than the second a report is given, the report goes again, rightly, and the one the test then answered was heard by nobody; nobody answered the next, and the text behind it in its key never went.

Change: once all that is to be seen before a's end is told has been seen, every report that comes is answered until b goes, and each has to be the same as the one held.

--- a/crates/sender/tests/sender/sockets.rs
+++ b/crates/sender/tests/sender/sockets.rs
@@ -398,8 +398,24 @@
     visit.status(200);
     daemon.counts("delivered", 1);
     assert!(endpoint.is_quiet());
+    let end = body(&told);
     told.status(204);
-    let visit = endpoint.next();
+    // Where all that took long it has gone again meanwhile, and the answer to the first is heard by nobody.
+    let (by, mut watches) = (Instant::now() + PATIENCE, Vec::new());
+    let visit = loop {
+        if let Some(visit) = endpoint.next_within(Duration::from_millis(20)) {
+            break visit;
+        }
+        assert!(Instant::now() < by, "b goes when a's end is told");
+        for visit in std::iter::from_fn(|| discovery.next_within(Duration::ZERO)) {
+            if visit.request.path == "/reports" {
+                assert_eq!(body(&visit), end);
+                visit.status(204);
+            } else {
+                watches.push(visit);
+            }
+        }
+    };
     assert_eq!(visit.header("x-request-id"), "b");
     visit.status(200);
     daemon.counts("delivered", 2);
