Operations: the test waits for the count by product that it reads

Cause, in the test: it waited for the counter of delivered texts, which is set when the answer is read, and then read the counts by product, which the decider makes a little later.

Change: it asks for the report until both are in its bins, within the usual patience, and then checks all it checked before: no more than two, and each in one bin.

--- a/crates/sender/tests/sender/operations.rs
+++ b/crates/sender/tests/sender/operations.rs
@@ -335,15 +335,23 @@
         visit.expect("it comes").status(200);
     }
     daemon.counts("delivered", 2);
-    let report = asked("/ops/report");
+    // What ends is counted by product only after that, and its time last.
+    let by = Instant::now() + PATIENCE;
+    let took = |report: &Value| {
+        let bins = report["products"]["free"]["took"].as_array();
+        bins.into_iter().flatten().filter_map(Value::as_u64).sum::<u64>()
+    };
+    let mut report = asked("/ops/report");
+    while took(&report) < 2 && Instant::now() < by {
+        std::thread::sleep(Duration::from_millis(5));
+        report = asked("/ops/report");
+    }
     assert_eq!(
         (&report["taken"], &report["submits"], &report["ready"]),
         (&json!(2), &json!(2), &json!(true))
     );
-    let free = &report["products"]["free"];
-    assert_eq!(free["delivered"], json!(2));
-    let took = free["took"].as_array().expect("bins").iter().filter_map(Value::as_u64);
-    assert_eq!(took.sum::<u64>(), 2, "each in one bin");
+    assert_eq!(report["products"]["free"]["delivered"], json!(2));
+    assert_eq!(took(&report), 2, "each in one bin");
     // A file that is put in force is the one that is told of; one that is turned down isn't.
     let other = file.replace("\"seed\"", " \"seed\"");
     world.reload(&daemon, &other);
