Kills: a kill waits until its sender has taken on some texts

Cause, in the test: each life lasted 60 to 400 ms whatever the machine did in that time, and all lives together are to take on more than ten texts each.

Change: the kill comes at its random moment, and not before a random 11 to 20 texts are taken on, within the usual patience. The check stays as it is.

--- a/crates/sender/tests/sender/kills.rs
+++ b/crates/sender/tests/sender/kills.rs
@@ -5,7 +5,7 @@
 use crate::common::*;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -184,6 +184,8 @@
     for _ in 0..kills() {
         let mut daemon = Daemon::start(&config, &folder);
         let by = Instant::now() + Duration::from_millis(60 + dice.roll(340));
+        // Where the machine is busy little is taken on in that time; the kill then comes after so many texts.
+        let (least, count) = (11 + dice.roll(10) as usize, AtomicUsize::new(0));
         let mut client = daemon.client();
         thread::scope(|scope| {
             let clients = scope.spawn(|| {
@@ -196,7 +198,10 @@
                     // The last of them are to be over soon after the last kill.
                     let brief = String::from_utf8(raw).expect("text").replace("Ms: 20000", "Ms: 5000");
                     match client.try_ask(brief.as_bytes()) {
-                        Some(202) => taken.push(id),
+                        Some(202) => {
+                            taken.push(id);
+                            count.fetch_add(1, Ordering::Relaxed);
+                        }
                         Some(503) => {}
                         Some(status) => panic!("{id}: {status}"),
                         None => break,
@@ -208,6 +213,9 @@
                 taken
             });
             thread::sleep(by.saturating_duration_since(Instant::now()));
+            while count.load(Ordering::Relaxed) < least && by.elapsed() < PATIENCE && !clients.is_finished() {
+                thread::sleep(Duration::from_millis(1));
+            }
             daemon.kill();
             promised.extend(clients.join().expect("clients do no wrong"));
         });
