Scale: outages are looked at for 300 s, as a sender's part of a cold budget is smaller

Cause: all_that_are_down_come_to_be_known_so found 0 trials a second: a sender's part is no longer 1.2 of an equal one, so its pause between trials is 250 s and the look of 240 s ended before the second.

--- a/crates/scale/src/roles/outages.rs
+++ b/crates/scale/src/roles/outages.rs
@@ -12,7 +12,7 @@
 /// Until all are known to be down, and for so long they are looked at then: longer than the pause between two trials of
 /// one of so many senders.
 const SETTLED: Span = Span::millis(10_000);
-const LOOKED_AT: Span = Span::millis(240_000);
+const LOOKED_AT: Span = Span::millis(300_000);
 const STEP: Span = Span::millis(5);
 
 pub struct Outages;
@@ -37,7 +37,7 @@
     fn assumes(&self) -> &'static [&'static str] {
         &[
             "each refuses connections within a millisecond and has one text at this sender at any time",
-            "as many calls may be out as there are destinations: slots hold nothing back; looked at for 240 s, a little \
+            "as many calls may be out as there are destinations: slots hold nothing back; looked at for 300 s, a little \
              longer than the pause between two trials of one sender among 16,000",
         ]
     }
