All senders together may send four calls a second to a cold receiver of unknown rate

Seen on: three socket tests of restarts failed, as one or two senders that start gently with a few texts sent a call in five seconds: notices ran out meanwhile, keys stood. Cause: without a known rate a gap is worked out of next to nothing. Change: never less than the sender's part of 4 calls a second, which is no flood for N of 5 in 2 s. The three pass unchanged. One table of tests/rules.rs takes the shorter turn.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,9 @@
 const SECOND_LOOK: Span = Span::millis(1_500);
 /// Where no rate is known, what a sender is handed at its peaks is this much over its mean.
 const PEAK: f64 = 2.0;
-/// And what a cold one takes as its whole, as it is trusted with no peak then: less than what it was sized for.
+/// A cold one is then trusted with so much over the mean, and from all senders with so many calls a second.
 const COLD_PEAK: f64 = 1.5;
+const LEAST_COLD: f64 = 4.0;
 /// Calls a second that a warm destination is trusted to take, where nothing else is known.
 const LEAST_RATE: f64 = 1.0;
 /// Recent answer times this far over the usual ones, and by at least so much, are sharply risen.
@@ -957,20 +958,19 @@
         let cold_span = self.settings.cold_span.as_secs().max(1e-3);
         let warmth = (self.now.since(since).as_secs() / cold_span).min(1.0);
         let share = self.settings.cold_share + (1.0 - self.settings.cold_share) * warmth;
-        let equal = self.known_rate(id) / self.settings.senders.max(1) as f64;
+        let senders = self.settings.senders.max(1) as f64;
+        let equal = self.known_rate(id) / senders;
         // A process that has just begun goes by what it finds.
         let found = self.holds.get(&id.0).map_or(0.0, |hold| hold.held as f64) / cold_span;
-        let least = found.max(LEAST_RATE / self.settings.senders.max(1) as f64);
-        let part = if equal > 0.0 { equal } else { (self.demand(id.0) * COLD_PEAK).max(least) };
-        let slowest = if equal > 0.0 { 1e-3 } else { 2.0 / cold_span };
-        Span::from_millis(1000.0 / (self.settings.tip_multiple * share * part).max(slowest))
+        let part = if equal > 0.0 { equal } else { (self.demand(id.0) * COLD_PEAK).max(found) };
+        let least = if equal > 0.0 { 1e-3 } else { (LEAST_COLD / senders).max(2.0 / cold_span) };
+        Span::from_millis(1000.0 / (self.settings.tip_multiple * share * part).max(least))
     }
 
     /// Senders take turns at what has just come back: each starts its part of the gap later than the last.
     fn turn(&self, id: LaneId) -> Span {
-        let number = (self.settings.ordinal + 1) as f64;
-        self.cold_gap(id, self.now).min(self.settings.cold_span * 0.5)
-            * (number / self.settings.senders.max(1) as f64)
+        let part = (self.settings.ordinal + 1) as f64 / self.settings.senders.max(1) as f64;
+        self.cold_gap(id, self.now).min(self.settings.cold_span * 0.5) * part
     }
 
     /// Guards against silent receivers that draw in slots until the first time-out; one slow call may hurt.
