Lab: a checker of histories of assignment in real processes

Need: what parts agents and daemons were seen to have under faults has to be judged by something that was written before the run and that knows nothing of the processes.

--- /dev/null
+++ b/crates/lab/src/assignment/mod.rs
@@ -0,0 +1,8 @@
+//! Parts of the destinations in real processes, under faults drawn from a seed.
+//!
+//! Three control processes, an agent beside each sender and some real daemons run on loopback addresses with a relay of
+//! [`network`](crate::processes::network) on every line. What was said and seen is written down ([`history`]); the
+//! [`checker`] alone says whether that may be: it knows nothing of how the processes work, and is a function of the history.
+
+pub mod checker;
+pub mod history;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 //! The lab guards against gains read out of noise ([`compare`]) and against trusting a sender's own counters. What a
 //! gateway is like belongs to `indigomast-gateway`, what the program prints to `indigomast-cli`.
 
+pub mod assignment;
 pub mod compare;
 pub mod judge;
 pub mod outcome;
