--- a/crates/lab/src/assignment/mod.rs
+++ b/crates/lab/src/assignment/mod.rs
@@ -6,3 +6,4 @@
 
 pub mod checker;
 pub mod history;
+pub mod nemesis;
