Control plane: control processes, agents and orders carry the assignment, first form

Need: crates/assignment decided who serves what and told it by changes, but nothing carried it over sockets and disks, so no daemon could take its part. `write_whole` of the keepers is used for the agent's part and revisions.

--- a/crates/assignment/src/catalog.rs
+++ b/crates/assignment/src/catalog.rs
@@ -515,6 +515,42 @@
         }
     }
 
+    pub(crate) fn log(&self) -> &VecDeque<(u64, Key)> {
+        &self.log
+    }
+
+    /// Older keys of the log, oldest first, as an image has them.
+    pub(crate) fn extend_log(&mut self, keys: Vec<(u64, Key)>) -> Result<(), Fault> {
+        for (revision, key) in keys {
+            let last = self.log.back().map_or(self.floor, |(last, _)| *last);
+            if revision <= last || revision > self.revision {
+                return Err(Fault::meaning(
+                    "log",
+                    format!("{revision} after {last}, up to {}", self.revision),
+                ));
+            }
+            if let Key::Shard(shard) = key
+                && shard >= self.shard_count()
+            {
+                return Err(Fault::meaning(
+                    "log",
+                    format!("shard {shard}, there are {}", self.shard_count()),
+                ));
+            }
+            if key == Key::Common && self.common.is_none() {
+                return Err(Fault::meaning("log", "names a common line that isn't there"));
+            }
+            self.note(revision, key);
+        }
+        Ok(())
+    }
+
+    /// A destination that was removed, as an image has it.
+    pub(crate) fn bury(&mut self, destination: u32, revision: u64) {
+        let shard = self.shard_of(destination) as usize;
+        self.shards[shard].put(Entry { destination, weight: 0, revision, body: None });
+    }
+
     /// Filled by a snapshot: the log stays empty.
     pub(crate) fn fill(&mut self, shard: u32, record: &Record) {
         match record {
--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -9,7 +9,7 @@
 //! either; [`relay`] holds a copy on each control machine and serves some hundreds of senders; [`subscriber`] is the
 //! sender's side, which keeps the last word in force while cut off and never runs on half a part. [`publisher`] is how a
 //! controller serves relays and a relay serves senders, within the bytes a second that each may be sent ([`budget`]);
-//! [`link`] is the other end of that. [`wire`] says how lines look and how each side knows that the other said them.
+//! [`link`] is the other end of that. [`image`] is a copy as it is kept on a disk. [`wire`] says how lines look and how each side knows that the other said them.
 //! [`rehearsal`] plays all of it in simulated time under faults, [`panel`] all
 //! the hard cases at any size.
 //!
@@ -39,6 +39,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod controller;
+pub mod image;
 pub mod link;
 pub mod panel;
 pub mod placement;
--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -124,6 +124,12 @@
         self.filled
     }
 
+    /// Whether its copy is one that a controller may begin with and that may be saved: it has had all of one, and none of it
+    /// waits to be told anew.
+    pub fn is_whole(&self) -> bool {
+        self.filled && self.suspects.is_empty()
+    }
+
     /// Destinations of a snapshot that isn't whole yet.
     pub fn staged(&self) -> Option<usize> {
         self.staging.as_ref().map(|staging| staging.replica.live())
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 
 mod account;
 mod assignment;
+mod control_plane;
 mod demo;
 mod emulate;
 mod install;
@@ -76,6 +77,11 @@
         #[command(subcommand)]
         command: rollout::Command,
     },
+    /// Tell each sender of its own destinations: control processes, senders' agents, orders
+    Assignment {
+        #[command(subcommand)]
+        command: control_plane::Command,
+    },
     /// Run the sender itself, told by ROUTER_CONFIG and ROUTER_STATE
     Daemon,
 }
@@ -139,6 +145,7 @@
         Command::Journal { command } => journal::run(command),
         Command::Keep { file } => rollout::keep(&file),
         Command::Rollout { command } => rollout::run(command),
+        Command::Assignment { command } => control_plane::run(command),
         Command::Daemon => indigomast_sender::run().map_err(Failure::Complaint),
     };
     match done {
--- /dev/null
+++ b/crates/control-plane/src/agent.rs
@@ -0,0 +1,553 @@
+//! Beside one sender: its subscriber, and towards its daemon the list's protocol as the platform speaks it.
+//!
+//! What is in force is shown under one lock, so that a page is of one moment. A revision that a daemon was told never comes
+//! again with another meaning: before revisions of a block are used its end is on the disk, and a life begins beyond what
+//! the one before had set apart, and beyond the time of day, should the folder be lost.
+
+use crate::config;
+use crate::connection::{Dialer, Outgoing, Traffic, join};
+use crate::limits::Limits;
+use crate::listing::Listing;
+use crate::moment;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use indigomast_assignment::budget;
+use indigomast_assignment::catalog::Position;
+use indigomast_assignment::subscriber::{self, Subscriber};
+use indigomast_keep::process::write_whole;
+use indigomast_sender::http::{Request, put_answer, take_request};
+use indigomast_sender::limits::{Grant, Limits as HttpLimits};
+use indigomast_sender::ring::Ring;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const PART: &str = "part";
+const REVISION: &str = "revision";
+/// Revisions set apart with one write.
+const BLOCK: u64 = 65_536;
+
+enum Word {
+    Above(Outgoing),
+    Saved(Result<(), String>),
+    Stop,
+}
+
+impl From<Outgoing> for Word {
+    fn from(outgoing: Outgoing) -> Word {
+        Word::Above(outgoing)
+    }
+}
+
+/// What is shown to whoever asks: all of one moment.
+struct Shown {
+    listing: Listing,
+    /// Destination: revision and body.
+    destinations: BTreeMap<u32, (u64, Arc<str>)>,
+    common: Option<(u64, Arc<str>)>,
+    position: Option<Position>,
+    shards: usize,
+    up: bool,
+    /// Of lines, and of what was saved.
+    refused: u64,
+    trouble: Option<String>,
+}
+
+/// Between the actor and whoever asks.
+struct Board {
+    sender: u32,
+    limits: Arc<Limits>,
+    shown: Mutex<Shown>,
+    changed: Condvar,
+    over: AtomicBool,
+    notices: AtomicU64,
+    above: Arc<Traffic>,
+    http: Arc<Traffic>,
+    open: Mutex<BTreeMap<u64, Arc<TcpStream>>>,
+}
+
+impl Board {
+    fn shown(&self) -> MutexGuard<'_, Shown> {
+        self.shown.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn open(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<TcpStream>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An agent that runs.
+pub struct Agent {
+    pub address: SocketAddr,
+    mailbox: Sender<Word>,
+    board: Arc<Board>,
+    actor: Option<JoinHandle<()>>,
+    listener: Option<JoinHandle<()>>,
+}
+
+impl Agent {
+    /// Begins with the part that an earlier life saved, in force at once.
+    ///
+    /// # Errors
+    ///
+    /// The field of the file that names what can't be had.
+    pub fn start(config: &config::Agent, limits: Limits) -> Result<Agent, String> {
+        let secret = config::secret(&config.key)?;
+        let folder = &config.state;
+        let state = |e: io::Error| format!("state: {}: {e}", folder.display());
+        fs::create_dir_all(folder).map_err(state)?;
+        let lock = File::options().create(true).truncate(false).write(true).open(folder.join("lock"));
+        let lock = lock.map_err(state)?;
+        lock.try_lock().map_err(|_| format!("state: {}: another agent has it", folder.display()))?;
+        let revisions = Revisions::open(folder).map_err(state)?;
+        let listener =
+            TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+        let limits = Arc::new(limits);
+        let (mailbox, words) = bounded(limits.mailbox);
+        let began = Instant::now();
+        let relays = (0..config.relays.len() as u32).collect();
+        let (seed, now) = (rand::random(), moment(began));
+        let mut subscriber =
+            Subscriber::new(config.sender, config.shards, relays, budget::SENDER, secret, seed, now);
+        let mut resumed = false;
+        match fs::read(folder.join(PART)) {
+            Ok(bytes) => match subscriber.resume(&String::from_utf8_lossy(&bytes)) {
+                Ok(()) => resumed = true,
+                // Told anew by a relay, as one that never had any.
+                Err(fault) => log::warn!("state: {}: {fault}", folder.join(PART).display()),
+            },
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            Err(e) => return Err(state(e)),
+        }
+        let board = Arc::new(Board {
+            sender: config.sender,
+            limits: Arc::clone(&limits),
+            shown: Mutex::new(Shown {
+                listing: Listing::new(revisions.last, limits.gone),
+                destinations: BTreeMap::new(),
+                common: None,
+                position: None,
+                shards: 0,
+                up: false,
+                refused: 0,
+                trouble: None,
+            }),
+            changed: Condvar::new(),
+            over: AtomicBool::new(false),
+            notices: AtomicU64::new(0),
+            above: Arc::default(),
+            http: Arc::default(),
+            open: Mutex::default(),
+        });
+        let (saves, asked) = bounded::<String>(1);
+        let no_thread = |e: io::Error| format!("no thread: {e}");
+        let (saved, path) = (mailbox.clone(), folder.join(PART));
+        let disk = thread::Builder::new()
+            .name("disk".into())
+            .stack_size(limits.stack)
+            .spawn(move || {
+                // Held as long as anything is written there.
+                let _lock = lock;
+                for part in asked {
+                    let done = write_whole(&path, part.as_bytes()).map_err(|e| e.to_string());
+                    if saved.send(Word::Saved(done)).is_err() {
+                        return;
+                    }
+                }
+            })
+            .map_err(no_thread)?;
+        let dialer = Dialer::new(Arc::clone(&limits), Arc::clone(&board.above), mailbox.clone());
+        let mut actor = Actor {
+            relays: config.relays.clone(),
+            began,
+            subscriber,
+            dialer,
+            board: Arc::clone(&board),
+            revisions,
+            saves: Some(saves),
+            disk: Some(disk),
+            saving: false,
+            unsaved: false,
+        };
+        if resumed {
+            actor.show(true);
+        }
+        let actor = thread::Builder::new()
+            .name("agent".into())
+            .spawn(move || actor.run(&words))
+            .map_err(no_thread)?;
+        let own = Arc::clone(&board);
+        let listener = thread::Builder::new()
+            .name("listen".into())
+            .stack_size(limits.stack)
+            .spawn(move || listen(&listener, &own))
+            .map_err(no_thread)?;
+        Ok(Agent { address, mailbox, board, actor: Some(actor), listener: Some(listener) })
+    }
+
+    /// Whether the actor still runs; it ends before it is stopped only by a fault of its own.
+    pub fn runs(&self) -> bool {
+        self.actor.as_ref().is_some_and(|actor| !actor.is_finished())
+    }
+
+    /// Ends all connections, with the part saved.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.board.over.store(true, Ordering::Release);
+        _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
+        join(self.listener.take());
+        self.board.changed.notify_all();
+        _ = self.mailbox.send(Word::Stop);
+        join(self.actor.take());
+        self.board.open().values().for_each(|stream| _ = stream.shutdown(Shutdown::Both));
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        if self.actor.is_some() {
+            self.end();
+        }
+    }
+}
+
+/// Which revisions may be used.
+struct Revisions {
+    path: PathBuf,
+    /// Before the first of this life.
+    last: u64,
+    /// Up to there they are set apart on the disk.
+    until: u64,
+}
+
+impl Revisions {
+    fn open(folder: &Path) -> io::Result<Revisions> {
+        let path = folder.join(REVISION);
+        let known = match fs::read_to_string(&path) {
+            Ok(text) => text.trim().parse::<u64>().unwrap_or(0),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => 0,
+            Err(e) => return Err(e),
+        };
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let last = known.max(since.as_millis() as u64);
+        let mut revisions = Revisions { path, last, until: last };
+        revisions.set_apart(last)?;
+        Ok(revisions)
+    }
+
+    fn set_apart(&mut self, after: u64) -> io::Result<()> {
+        let until = after + BLOCK;
+        write_whole(&self.path, until.to_string().as_bytes())?;
+        self.until = until;
+        Ok(())
+    }
+}
+
+struct Actor {
+    relays: Vec<SocketAddr>,
+    began: Instant,
+    subscriber: Subscriber,
+    dialer: Dialer<Word>,
+    board: Arc<Board>,
+    revisions: Revisions,
+    saves: Option<Sender<String>>,
+    disk: Option<JoinHandle<()>>,
+    saving: bool,
+    unsaved: bool,
+}
+
+impl Actor {
+    fn run(mut self, words: &Receiver<Word>) {
+        loop {
+            let wait = self.subscriber.next().since(moment(self.began)).as_secs().clamp(0.0, 1.0);
+            match words.recv_timeout(Duration::from_secs_f64(wait)) {
+                Ok(Word::Above(outgoing)) => self.above(outgoing),
+                Ok(Word::Saved(done)) => self.saved(done),
+                Ok(Word::Stop) => return self.leave(words),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.step(subscriber::Event::Tick);
+        }
+    }
+
+    fn above(&mut self, outgoing: Outgoing) {
+        match outgoing {
+            Outgoing::Connected { number, writer } if self.dialer.is_current(number) => {
+                self.dialer.connected(writer);
+                self.step(subscriber::Event::Connected);
+            }
+            Outgoing::Line { number, line } if self.dialer.is_current(number) => {
+                self.step(subscriber::Event::Line(&line));
+            }
+            Outgoing::Lost { number } if self.dialer.is_current(number) => {
+                self.dialer.disconnect();
+                self.step(subscriber::Event::Lost);
+            }
+            _ => {}
+        }
+    }
+
+    fn step(&mut self, event: subscriber::Event) {
+        let mut in_force = false;
+        for action in self.subscriber.step(moment(self.began), event) {
+            match action {
+                subscriber::Action::Connect(to) => match self.relays.get(to as usize) {
+                    Some(address) => self.dialer.connect(*address),
+                    None => log::warn!("there is no relay {to}"),
+                },
+                subscriber::Action::Disconnect => self.dialer.disconnect(),
+                subscriber::Action::Say(line) => self.dialer.say(line),
+                subscriber::Action::InForce(_) => in_force = true,
+                subscriber::Action::Save => {
+                    self.unsaved = true;
+                    self.save();
+                }
+            }
+        }
+        self.show(in_force);
+    }
+
+    /// Puts on the board what is in force, if that is another, and how the agent stands.
+    fn show(&mut self, in_force: bool) {
+        let part = self.subscriber.part();
+        let board = Arc::clone(&self.board);
+        let mut shown = board.shown();
+        // An empty part that is whole is a list with nobody in it; no part yet is no list.
+        let first = !shown.listing.is_ready() && (part.position.is_some() || !part.shards.is_empty());
+        if in_force || first {
+            shown.destinations = part
+                .shards
+                .values()
+                .flat_map(|shard| shard.live())
+                .filter_map(|entry| Some((entry.destination, (entry.revision, entry.body.clone()?))))
+                .collect();
+            shown.common = part.common.clone();
+            shown.shards = part.shards.len();
+            self.list(&mut shown, first);
+        }
+        shown.position = self.subscriber.part().position;
+        shown.up = self.subscriber.is_connected();
+        shown.refused = self.subscriber.refusals.all();
+    }
+
+    fn list(&mut self, shown: &mut Shown, first: bool) {
+        if !first && !shown.listing.is_ready() {
+            return;
+        }
+        if shown.listing.revision() + 1 >= self.revisions.until
+            && let Err(e) = self.revisions.set_apart(shown.listing.revision())
+        {
+            // Told with the next change: a revision that isn't set apart could come again after a restart.
+            shown.trouble =
+                Some(format!("revisions can't be set apart, the daemon is told nothing new: {e}"));
+            log::warn!("revisions can't be set apart: {e}");
+            return;
+        }
+        let Shown { listing, destinations, .. } = shown;
+        let part = destinations.iter().map(|(destination, (_, body))| (*destination, body));
+        let (changed, refused) = listing.put_in_force(part);
+        for wrong in refused {
+            log::warn!("not listed: {wrong}");
+        }
+        if changed {
+            self.board.changed.notify_all();
+        }
+    }
+
+    fn save(&mut self) {
+        if self.saving || !self.unsaved {
+            return;
+        }
+        if let Some(saves) = &self.saves {
+            self.saving = saves.try_send(self.subscriber.saved()).is_ok();
+            self.unsaved = false;
+        }
+    }
+
+    fn saved(&mut self, done: Result<(), String>) {
+        self.saving = false;
+        if let Err(e) = &done {
+            log::warn!("the part can't be saved: {e}");
+        }
+        self.board.shown().trouble = done.err().map(|e| format!("the part can't be saved: {e}"));
+        self.save();
+    }
+
+    /// Saves what is in force, and ends.
+    fn leave(mut self, words: &Receiver<Word>) {
+        let by = Instant::now() + Duration::from_secs(10);
+        // With nothing ever in force there is nothing to save.
+        self.unsaved = self.board.shown().listing.is_ready();
+        self.save();
+        while self.saving {
+            match words.recv_timeout(by.saturating_duration_since(Instant::now())) {
+                Ok(Word::Saved(done)) => self.saved(done),
+                Ok(_) => {}
+                Err(_) => break,
+            }
+        }
+        self.saves = None;
+        join(self.disk.take());
+    }
+}
+
+// Towards the daemon.
+
+fn listen(listener: &TcpListener, board: &Arc<Board>) {
+    let mut number = 0;
+    for stream in listener.incoming() {
+        if board.over.load(Ordering::Acquire) {
+            return;
+        }
+        let Ok(stream) = stream else {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        number += 1;
+        let stream = Arc::new(stream);
+        {
+            let mut open = board.open();
+            if open.len() >= board.limits.http_connections {
+                continue;
+            }
+            open.insert(number, Arc::clone(&stream));
+        }
+        let own = Arc::clone(board);
+        let work = move || {
+            _ = serve(&stream, &own);
+            _ = stream.shutdown(Shutdown::Both);
+            own.open().remove(&number);
+        };
+        let thread = thread::Builder::new().name("daemon".into()).stack_size(board.limits.stack);
+        if thread.spawn(work).is_err() {
+            board.open().remove(&number);
+        }
+    }
+}
+
+fn serve(stream: &TcpStream, board: &Board) -> io::Result<()> {
+    _ = stream.set_nodelay(true);
+    stream.set_write_timeout(Some(board.limits.write_within))?;
+    let limits = HttpLimits { body: board.limits.http_body, ..HttpLimits::of(Grant::new(192, 1024, 3.0)) };
+    let (mut ring, mut out) = (Ring::default(), Ring::default());
+    loop {
+        let close = match take_request(&mut ring, &limits) {
+            Ok(Some(request)) => {
+                let (status, body) = answer(&request, board);
+                put_answer(&mut out, status, &body, request.close);
+                request.close
+            }
+            Ok(None) => {
+                let count = ring.fill(&mut &*stream)?;
+                if count == 0 {
+                    return Ok(());
+                }
+                board.http.read.fetch_add(count as u64, Ordering::Relaxed);
+                continue;
+            }
+            Err(rejection) => {
+                put_answer(&mut out, rejection.0, "", true);
+                true
+            }
+        };
+        board.http.written.fetch_add(out.len() as u64, Ordering::Relaxed);
+        out.drain_to(&mut &*stream)?;
+        if close {
+            return (&*stream).flush();
+        }
+    }
+}
+
+/// A notice of a text's end, as daemons post them.
+#[derive(Deserialize)]
+struct Notice {
+    #[allow(dead_code, reason = "has to be there")]
+    id: String,
+    #[allow(dead_code, reason = "has to be there")]
+    status: String,
+}
+
+fn answer(request: &Request, board: &Board) -> (u16, String) {
+    let path = request.path.split('?').next().unwrap_or_default();
+    match (request.method.as_str(), path) {
+        ("GET", "/discovery/hosts") => list(&request.path, board),
+        ("GET", "/status") => (200, status(board).to_string()),
+        ("POST", "/reports") => {
+            let Ok(text) = std::str::from_utf8(&request.body) else { return (400, String::new()) };
+            let lines = text.lines().filter(|line| !line.is_empty());
+            let read = lines.map(|line| serde_json::from_str::<Notice>(line).ok());
+            match read.collect::<Option<Vec<_>>>() {
+                Some(notices) => {
+                    board.notices.fetch_add(notices.len() as u64, Ordering::Relaxed);
+                    (204, String::new())
+                }
+                None => (400, String::new()),
+            }
+        }
+        (_, "/discovery/hosts" | "/status" | "/reports") => (405, String::new()),
+        _ => (404, String::new()),
+    }
+}
+
+fn number(path: &str, name: &str) -> Option<u64> {
+    let (_, query) = path.split_once('?')?;
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+}
+
+/// The list, or what came after a revision; 503 until there is one, as from a discovery that is not ready.
+fn list(path: &str, board: &Board) -> (u16, String) {
+    let from = number(path, "from");
+    let hold = Duration::from_millis(number(path, "hold_ms").unwrap_or(0)).min(board.limits.hold);
+    let by = Instant::now() + hold;
+    let mut shown = board.shown();
+    loop {
+        if !shown.listing.is_ready() || board.over.load(Ordering::Acquire) {
+            return (503, String::new());
+        }
+        let left = by.saturating_duration_since(Instant::now());
+        if from.is_none_or(|from| shown.listing.is_after(from)) || left.is_zero() {
+            return (200, shown.listing.page(from));
+        }
+        let waited = board.changed.wait_timeout(shown, left);
+        shown = waited.unwrap_or_else(PoisonError::into_inner).0;
+    }
+}
+
+fn status(board: &Board) -> Value {
+    let shown = board.shown();
+    let destinations: BTreeMap<_, _> = shown
+        .destinations
+        .iter()
+        .map(|(destination, (revision, body))| {
+            (destination.to_string(), json!({"revision": revision, "body": &**body}))
+        })
+        .collect();
+    let common = shown.common.as_ref().map(|(revision, body)| json!({"revision": revision, "body": &**body}));
+    json!({
+        "sender": board.sender,
+        "position": shown.position.map(|at| (at.epoch, at.revision)),
+        "up": shown.up,
+        "refused": shown.refused + shown.listing.refused,
+        "shards": shown.shards,
+        "destinations": destinations,
+        "common": common,
+        "ready": shown.listing.is_ready(),
+        "list_revision": shown.listing.revision(),
+        "bodies_refused": shown.listing.refused,
+        "notices": board.notices.load(Ordering::Relaxed),
+        "trouble": shown.trouble,
+        "bytes_in_out": {"above": board.above.get(), "http": board.http.get()},
+    })
+}
--- /dev/null
+++ b/crates/control-plane/src/limits.rs
@@ -0,0 +1,66 @@
+//! What a process takes on at the most; every queue, line and wait is bounded by one of these.
+
+use std::time::Duration;
+
+/// The bounds of one process.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Bytes of a first line. The longest is that of a relay which names 2,048 keys to be told anew.
+    pub first_line: usize,
+    /// Bytes of any later line between controller, relay and agent; frames have 48 KiB at the most.
+    pub line: usize,
+    /// Bytes of an order: 16,000 senders in one list of members take some 640 KB.
+    pub order: usize,
+    /// Connections that came in, those that have said nothing yet included.
+    pub connections: usize,
+    /// Orders under way at once.
+    pub orders: usize,
+    /// Words that wait for the actor. Whoever has one more waits, and reads nothing more meanwhile.
+    pub mailbox: usize,
+    /// Lines that wait for a connection. One more ends it: its subscriber comes again and is told what changed.
+    pub queue: usize,
+    /// For a first line to come whole.
+    pub first_line_within: Duration,
+    /// A write that gets no further for so long ends the connection.
+    pub write_within: Duration,
+    /// For a connection to come up.
+    pub connect_within: Duration,
+    /// For an order to be on the disk and answered.
+    pub answer_within: Duration,
+    /// A relay's copy is written this long after it has changed; a controller's at once.
+    pub lazily: Duration,
+    /// Connections of daemons and of whoever looks at `/status`.
+    pub http_connections: usize,
+    /// Bytes of a report.
+    pub http_body: usize,
+    /// The longest that a watch is held.
+    pub hold: Duration,
+    /// Members that have gone and are remembered, so that a watch tells of them; beyond, the whole list is told.
+    pub gone: usize,
+    /// Of a thread that reads, writes, connects or waits.
+    pub stack: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            first_line: 96 << 10,
+            line: 64 << 10,
+            order: 1 << 20,
+            connections: 2048,
+            orders: 16,
+            mailbox: 4096,
+            queue: 1024,
+            first_line_within: Duration::from_secs(5),
+            write_within: Duration::from_secs(10),
+            connect_within: Duration::from_millis(1500),
+            answer_within: Duration::from_secs(20),
+            lazily: Duration::from_millis(1000),
+            http_connections: 64,
+            http_body: 1 << 20,
+            hold: Duration::from_secs(60),
+            gone: 4096,
+            stack: 256 << 10,
+        }
+    }
+}
