Control plane: a part is on the disk before it is shown; relays follow announcements

Need: what a daemon had been told could be taken back by a kill within 5 s; a relay with 39 control processes to choose from tried one after the other (up to a second each) for its controller, and none that had nothing yet heard announcements at all. Change: the agent shows a part once its disk has it (whole, renamed, the folder synced); relay::Event::Announced and Link::prefer: an announced controller is the first choice and the next tried, one of a later epoch ends the connection to an earlier; announcements bear the controller's number. Another number of shards is a complaint, not damage. Logs that a kill left are swept away.

--- a/crates/assignment/src/controller.rs
+++ b/crates/assignment/src/controller.rs
@@ -59,6 +59,7 @@
     publisher: Publisher,
     moves: Bucket,
     look: Moment,
+    number: u32,
     others: Vec<u32>,
     announced: Moment,
     deposed: Option<u32>,
@@ -96,6 +97,7 @@
                 now,
             ),
             look: now,
+            number: 0,
             others: Vec::new(),
             announced: now,
             deposed: None,
@@ -112,6 +114,12 @@
         self
     }
 
+    /// Its number among all that relays choose from; it is told with each announcement.
+    pub fn numbered(mut self, number: u32) -> Controller {
+        self.number = number;
+        self
+    }
+
     pub fn replica(&self) -> &Replica {
         &self.replica
     }
@@ -195,7 +203,7 @@
             self.announced = now;
             let hello = Hello {
                 version: VERSION,
-                who: Who::Controller(0),
+                who: Who::Controller(self.number),
                 challenge: 0,
                 epoch: self.epoch,
                 position: None,
--- a/crates/assignment/src/link.rs
+++ b/crates/assignment/src/link.rs
@@ -119,6 +119,23 @@
         self.state = State::Idle { until: now + budget::RETRY * (self.chance.share() / 2.0) };
     }
 
+    /// This one is the first choice from here on, and the next that is tried; None of a number that isn't known.
+    pub fn prefer(&mut self, now: Moment, choice: u32) {
+        let Some(at) = self.choices.iter().position(|known| *known == choice) else { return };
+        self.choices[..=at].rotate_right(1);
+        match self.state {
+            State::Idle { until } => {
+                (self.at, self.tries) = (0, 0);
+                self.state =
+                    State::Idle { until: until.min(now + budget::RETRY * (self.chance.share() / 2.0)) };
+            }
+            // What there is goes on; should it fail, the first choice is the next.
+            _ if self.at == at => self.at = 0,
+            _ if self.at < at => self.at += 1,
+            _ => {}
+        }
+    }
+
     /// Not before this moment.
     pub fn postpone(&mut self, to: Moment) {
         if let State::Idle { until } = &mut self.state {
--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::link::{Do, Link};
 use crate::publisher::{self, Heard, Publisher};
 use crate::wire::{Fault, Frame, Hello, Kind, Peer, Reason, Record, Refusals, Taken, Up, VERSION, Who};
-use crate::wire::{open_frame, seal_hello, seal_up};
+use crate::wire::{open_frame, open_hello, seal_hello, seal_up};
 use indigomast::time::Moment;
 use indigomast_rollout::wire::Secret;
 
@@ -27,6 +27,8 @@
     SenderLost {
         peer: Peer,
     },
+    /// A controller says that it is there.
+    Announced(&'a str),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -180,6 +182,11 @@
                 }
             }
             Event::SenderLost { peer } => self.publisher.lost(peer),
+            Event::Announced(line) => {
+                if let Err(fault) = self.announced(now, line, &mut out) {
+                    self.refusals.add(fault);
+                }
+            }
         }
         self.publisher.tick(now, &self.replica, &mut below);
         if let Some(due) = self.link.tick(now) {
@@ -192,6 +199,24 @@
         out
     }
 
+    /// Goes to the latest controller without trying all that there could be, and back to none of an earlier epoch.
+    fn announced(&mut self, now: Moment, line: &str, out: &mut Vec<Action>) -> Result<(), Fault> {
+        let hello = open_hello(&self.secret, line)?;
+        let Who::Controller(number) = hello.who else {
+            return Err(Fault::meaning("who", "is no controller"));
+        };
+        if hello.epoch < self.epoch {
+            return Ok(());
+        }
+        if hello.epoch > self.epoch && self.link.is_up() {
+            self.link.failed(now);
+            out.push(Action::Disconnect);
+        }
+        self.epoch = hello.epoch;
+        self.link.prefer(now, number);
+        Ok(())
+    }
+
     fn hello(&mut self, now: Moment) -> Hello {
         let challenge = self.link.connected(now);
         self.number = 0;
--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -1,6 +1,7 @@
 //! Beside one sender: its subscriber, and towards its daemon the list's protocol as the platform speaks it.
 //!
-//! What is in force is shown under one lock, so that a page is of one moment. A revision that a daemon was told never comes
+//! What is in force is shown under one lock, so that a page is of one moment, and only once it is on the disk: what a daemon
+//! was told, a kill doesn't take back. Where the disk fails it is shown all the same, and said. A revision that a daemon was told never comes
 //! again with another meaning: before revisions of a block are used its end is on the disk, and a life begins beyond what
 //! the one before had set apart, and beyond the time of day, should the folder be lost.
 
@@ -60,6 +61,14 @@
     trouble: Option<String>,
 }
 
+/// What is in force at one moment.
+struct Capture {
+    destinations: BTreeMap<u32, (u64, Arc<str>)>,
+    common: Option<(u64, Arc<str>)>,
+    position: Option<Position>,
+    shards: usize,
+}
+
 /// Between the actor and whoever asks.
 struct Board {
     sender: u32,
@@ -121,6 +130,9 @@
         match fs::read(folder.join(PART)) {
             Ok(bytes) => match subscriber.resume(&String::from_utf8_lossy(&bytes)) {
                 Ok(()) => resumed = true,
+                Err(fault) if fault.place == "saved.sender" => {
+                    return Err(format!("state: {}: is of {}", folder.join(PART).display(), fault.wrong));
+                }
                 // Told anew by a relay, as one that never had any.
                 Err(fault) => log::warn!("state: {}: {fault}", folder.join(PART).display()),
             },
@@ -157,7 +169,7 @@
                 // Held as long as anything is written there.
                 let _lock = lock;
                 for part in asked {
-                    let done = write_whole(&path, part.as_bytes()).map_err(|e| e.to_string());
+                    let done = write_lasting(&path, part.as_bytes()).map_err(|e| e.to_string());
                     if saved.send(Word::Saved(done)).is_err() {
                         return;
                     }
@@ -174,11 +186,13 @@
             revisions,
             saves: Some(saves),
             disk: Some(disk),
-            saving: false,
+            saving: None,
             unsaved: false,
+            again: None,
         };
         if resumed {
-            actor.show(true);
+            let capture = actor.capture();
+            actor.show(capture);
         }
         let actor = thread::Builder::new()
             .name("agent".into())
@@ -222,6 +236,12 @@
     }
 }
 
+/// Whole or not at all, also over a loss of power.
+fn write_lasting(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    write_whole(path, bytes)?;
+    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
+}
+
 /// Which revisions may be used.
 struct Revisions {
     path: PathBuf,
@@ -248,7 +268,7 @@
 
     fn set_apart(&mut self, after: u64) -> io::Result<()> {
         let until = after + BLOCK;
-        write_whole(&self.path, until.to_string().as_bytes())?;
+        write_lasting(&self.path, until.to_string().as_bytes())?;
         self.until = until;
         Ok(())
     }
@@ -263,8 +283,12 @@
     revisions: Revisions,
     saves: Option<Sender<String>>,
     disk: Option<JoinHandle<()>>,
-    saving: bool,
+    /// What the disk is writing, to be shown by then.
+    saving: Option<Capture>,
+    /// What is in force is another than was handed to the disk last.
     unsaved: bool,
+    /// A save has failed: it is tried again after this.
+    again: Option<Instant>,
 }
 
 impl Actor {
@@ -310,46 +334,53 @@
                 subscriber::Action::Disconnect => self.dialer.disconnect(),
                 subscriber::Action::Say(line) => self.dialer.say(line),
                 subscriber::Action::InForce(_) => in_force = true,
-                subscriber::Action::Save => {
-                    self.unsaved = true;
-                    self.save();
-                }
+                subscriber::Action::Save => self.unsaved = true,
             }
         }
-        self.show(in_force);
+        self.unsaved |= in_force;
+        if self.again.is_none_or(|at| at <= Instant::now()) {
+            self.save();
+        }
+        let mut shown = self.board.shown();
+        // Nothing waits for the disk: what is shown is what is in force, and may be so as of later.
+        if self.saving.is_none() && !self.unsaved {
+            shown.position = self.subscriber.part().position;
+        }
+        shown.up = self.subscriber.is_connected();
+        shown.refused = self.subscriber.refusals.all();
     }
 
-    /// Puts on the board what is in force, if that is another, and how the agent stands.
-    fn show(&mut self, in_force: bool) {
+    fn capture(&self) -> Capture {
         let part = self.subscriber.part();
+        let live = part.shards.values().flat_map(|shard| shard.live());
+        let destinations =
+            live.filter_map(|entry| Some((entry.destination, (entry.revision, entry.body.clone()?))));
+        Capture {
+            destinations: destinations.collect(),
+            common: part.common.clone(),
+            position: part.position,
+            shards: part.shards.len(),
+        }
+    }
+
+    /// Puts on the board what is in force from here on.
+    fn show(&mut self, capture: Capture) {
         let board = Arc::clone(&self.board);
         let mut shown = board.shown();
-        // An empty part that is whole is a list with nobody in it; no part yet is no list.
-        let first = !shown.listing.is_ready() && (part.position.is_some() || !part.shards.is_empty());
-        if in_force || first {
-            shown.destinations = part
-                .shards
-                .values()
-                .flat_map(|shard| shard.live())
-                .filter_map(|entry| Some((entry.destination, (entry.revision, entry.body.clone()?))))
-                .collect();
-            shown.common = part.common.clone();
-            shown.shards = part.shards.len();
-            self.list(&mut shown, first);
+        (shown.destinations, shown.common) = (capture.destinations, capture.common);
+        (shown.position, shown.shards) = (capture.position, capture.shards);
+        // Before a first shard was its own there is no list: a daemon would take one with nobody in it for its word.
+        if shown.listing.is_ready() || capture.shards > 0 {
+            self.list(&mut shown);
         }
-        shown.position = self.subscriber.part().position;
-        shown.up = self.subscriber.is_connected();
-        shown.refused = self.subscriber.refusals.all();
     }
 
-    fn list(&mut self, shown: &mut Shown, first: bool) {
-        if !first && !shown.listing.is_ready() {
-            return;
-        }
+    fn list(&mut self, shown: &mut Shown) {
         if shown.listing.revision() + 1 >= self.revisions.until
             && let Err(e) = self.revisions.set_apart(shown.listing.revision())
         {
-            // Told with the next change: a revision that isn't set apart could come again after a restart.
+            // One that isn't set apart could come again after a restart: this is tried again, with the next save.
+            (self.unsaved, self.again) = (true, Some(Instant::now() + self.board.limits.lazily));
             shown.trouble =
                 Some(format!("revisions can't be set apart, the daemon is told nothing new: {e}"));
             log::warn!("revisions can't be set apart: {e}");
@@ -367,36 +398,44 @@
     }
 
     fn save(&mut self) {
-        if self.saving || !self.unsaved {
+        if self.saving.is_some() || !self.unsaved {
             return;
         }
-        if let Some(saves) = &self.saves {
-            self.saving = saves.try_send(self.subscriber.saved()).is_ok();
+        if let Some(saves) = &self.saves
+            && saves.try_send(self.subscriber.saved()).is_ok()
+        {
+            self.saving = Some(self.capture());
             self.unsaved = false;
         }
     }
 
     fn saved(&mut self, done: Result<(), String>) {
-        self.saving = false;
         if let Err(e) = &done {
             log::warn!("the part can't be saved: {e}");
         }
+        self.unsaved |= done.is_err();
+        self.again = done.is_err().then(|| Instant::now() + self.board.limits.lazily);
         self.board.shown().trouble = done.err().map(|e| format!("the part can't be saved: {e}"));
-        self.save();
+        if let Some(capture) = self.saving.take() {
+            self.show(capture);
+        }
     }
 
     /// Saves what is in force, and ends.
     fn leave(mut self, words: &Receiver<Word>) {
         let by = Instant::now() + Duration::from_secs(10);
-        // With nothing ever in force there is nothing to save.
-        self.unsaved = self.board.shown().listing.is_ready();
+        self.unsaved |= self.board.shown().listing.is_ready();
         self.save();
-        while self.saving {
+        while self.saving.is_some() {
             match words.recv_timeout(by.saturating_duration_since(Instant::now())) {
                 Ok(Word::Saved(done)) => self.saved(done),
                 Ok(_) => {}
                 Err(_) => break,
             }
+            // What came into force while the last was written.
+            if self.again.is_none() {
+                self.save();
+            }
         }
         self.saves = None;
         join(self.disk.take());
@@ -440,6 +479,7 @@
 fn serve(stream: &TcpStream, board: &Board) -> io::Result<()> {
     _ = stream.set_nodelay(true);
     stream.set_write_timeout(Some(board.limits.write_within))?;
+    stream.set_read_timeout(Some(board.limits.http_idle))?;
     let limits = HttpLimits { body: board.limits.http_body, ..HttpLimits::of(Grant::new(192, 1024, 3.0)) };
     let (mut ring, mut out) = (Ring::default(), Ring::default());
     loop {
--- a/crates/control-plane/src/config.rs
+++ b/crates/control-plane/src/config.rs
@@ -106,6 +106,22 @@
     Ok(())
 }
 
+/// Each can be reached, and none stands twice.
+fn check_addresses(field: &str, addresses: &[SocketAddr]) -> Result<(), String> {
+    if addresses.is_empty() || addresses.len() > 256 {
+        return Err(format!("{field}: {} stand there, 1 to 256 may", addresses.len()));
+    }
+    for (at, address) in addresses.iter().enumerate() {
+        if address.port() == 0 {
+            return Err(format!("{field}[{at}]: {address} is no port to connect to"));
+        }
+        if addresses[..at].contains(address) {
+            return Err(format!("{field}[{at}]: {address} stands twice"));
+        }
+    }
+    Ok(())
+}
+
 /// # Errors
 ///
 /// The file has too few bytes or can't be read.
@@ -127,9 +143,7 @@
 
     fn check(&self) -> Result<(), String> {
         check_shards(self.shards)?;
-        if self.controls.is_empty() || self.controls.len() > 256 {
-            return Err(format!("controls: {} stand there, 1 to 256 may", self.controls.len()));
-        }
+        check_addresses("controls", &self.controls)?;
         if self.number as usize >= self.controls.len() {
             return Err(format!("number: {}, controls has {}", self.number, self.controls.len()));
         }
@@ -173,9 +187,7 @@
 
     fn check(&self) -> Result<(), String> {
         check_shards(self.shards)?;
-        if self.relays.is_empty() || self.relays.len() > 256 {
-            return Err(format!("relays: {} stand there, 1 to 256 may", self.relays.len()));
-        }
+        check_addresses("relays", &self.relays)?;
         if !self.listen.ip().is_loopback() {
             return Err(format!("listen: {}, a daemon beside it comes by loopback", self.listen));
         }
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -32,8 +32,6 @@
 
 /// Words worked through before the disk and the clock are looked at again.
 const TURN: usize = 256;
-/// Whoever has no connection: a line that is handed to a machine by its own process.
-const NOBODY: u64 = 0;
 
 enum Word {
     /// Somebody's first line, and how to answer.
@@ -115,8 +113,13 @@
     pub fn start(config: &config::Control, limits: Limits) -> Result<Control, String> {
         let secret = config::secret(&config.key)?;
         let settings = config.settings();
-        let (copy, found) = Copy::open(&config.state, config.number, secret.clone(), &settings)
-            .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
+        let (copy, found) =
+            Copy::open(&config.state, config.number, secret.clone(), &settings).map_err(|e| {
+                match e.kind() {
+                    io::ErrorKind::InvalidInput => format!("shards: {e}"),
+                    _ => format!("state: {}: {e}", config.state.display()),
+                }
+            })?;
         let listener =
             TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
         let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
@@ -229,7 +232,7 @@
     }
 
     fn listen(self: Arc<Door>, listener: &TcpListener) {
-        let mut peer = NOBODY;
+        let mut peer = 0;
         for stream in listener.incoming() {
             if self.over.load(Ordering::Acquire) {
                 return;
@@ -504,8 +507,7 @@
                 if self.controller.is_some() {
                     self.step_controller(controller::Event::Line { peer, line });
                 }
-                // Its relay is not to listen to an earlier one any more either.
-                self.step_relay(relay::Event::SenderLine { peer: NOBODY, line });
+                self.step_relay(relay::Event::Announced(line));
                 self.peers.remove(&peer);
             }
         }
@@ -697,7 +699,7 @@
         self.drop_relays();
         let others = (0..self.config.controls.len() as u32).filter(|n| *n != self.config.number).collect();
         let controller = Controller::new(epoch, copy, &self.settings, self.secret.clone(), now);
-        self.controller = Some(controller.beside(others));
+        self.controller = Some(controller.beside(others).numbered(self.config.number));
         self.heard = epoch;
         log::info!("controller of epoch {epoch} from here on");
         // Its own relay leaves an earlier one without waiting to be told by others.
@@ -714,7 +716,7 @@
             credit: 0,
         };
         let line = seal_hello(&self.secret, &hello);
-        self.step_relay(relay::Event::SenderLine { peer: NOBODY, line: &line });
+        self.step_relay(relay::Event::Announced(&line));
         Ok(())
     }
 
--- a/crates/control-plane/src/copy.rs
+++ b/crates/control-plane/src/copy.rs
@@ -53,7 +53,8 @@
     ///
     /// # Errors
     ///
-    /// The folder can't be used, or another process has it (`ResourceBusy`).
+    /// The folder can't be used, another process has it (`ResourceBusy`), or its copy has another number of shards
+    /// (`InvalidInput`), which is a mistake in the settings and no damage.
     pub fn open(
         folder: &Path,
         number: u32,
@@ -120,6 +121,19 @@
         self.sync_folder()
     }
 
+    /// Logs of earlier snapshots, which a kill left.
+    fn sweep(&self) -> io::Result<()> {
+        let current = self.log_path(self.generation);
+        for entry in fs::read_dir(&self.folder)? {
+            let path = entry?.path();
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            if name.starts_with("log-") && !name.ends_with(".damaged") && path != current {
+                fs::remove_file(&path)?;
+            }
+        }
+        Ok(())
+    }
+
     fn sync_folder(&self) -> io::Result<()> {
         File::open(&self.folder)?.sync_all()
     }
@@ -171,8 +185,15 @@
         if let Some(e) = wrong {
             return Err(e.into());
         }
-        let mut replica = replica.map_err(|fault| place(&lines, fault.to_string()))?;
+        let mut replica = replica.map_err(|fault| match fault.place.as_str() {
+            "pieces[0].shards" => Damage::Io(io::Error::new(
+                ErrorKind::InvalidInput,
+                format!("the copy in state has {}", fault.wrong),
+            )),
+            _ => place(&lines, fault.to_string()),
+        })?;
         self.read_log(&mut replica)?;
+        self.sweep()?;
         Ok(Some(replica))
     }
 
--- a/crates/control-plane/src/limits.rs
+++ b/crates/control-plane/src/limits.rs
@@ -31,6 +31,8 @@
     pub lazily: Duration,
     /// Connections of daemons and of whoever looks at `/status`.
     pub http_connections: usize,
+    /// A daemon's connection that says nothing for so long is closed.
+    pub http_idle: Duration,
     /// Bytes of a report.
     pub http_body: usize,
     /// The longest that a watch is held.
@@ -57,6 +59,7 @@
             answer_within: Duration::from_secs(20),
             lazily: Duration::from_millis(1000),
             http_connections: 64,
+            http_idle: Duration::from_secs(90),
             http_body: 1 << 20,
             hold: Duration::from_secs(60),
             gone: 4096,
--- a/crates/control-plane/src/listing.rs
+++ b/crates/control-plane/src/listing.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -72,7 +72,6 @@
 
 struct Told {
     revision: u64,
-    destination: u32,
     value: Value,
     gone: bool,
 }
@@ -88,6 +87,8 @@
     most_gone: usize,
     /// As last read: of each destination its body and what it tells of.
     bodies: BTreeMap<u32, (Arc<str>, Members)>,
+    /// Ids that a destination names and another has.
+    taken: BTreeSet<(u32, String)>,
     /// There has been a first whole part.
     ready: bool,
     pub refused: u64,
@@ -98,11 +99,13 @@
     pub fn new(last: u64, most_gone: usize) -> Listing {
         Listing {
             revision: last,
-            floor: last,
+            // The first page of this life is the next one.
+            floor: last + 1,
             members: BTreeMap::new(),
             gone: VecDeque::new(),
             most_gone,
             bodies: BTreeMap::new(),
+            taken: BTreeSet::new(),
             ready: false,
             refused: 0,
         }
@@ -138,25 +141,23 @@
             bodies.insert(destination, (Arc::clone(body), known));
         }
         self.bodies = bodies;
+        let mut taken = BTreeSet::new();
         let mut wanted: BTreeMap<&str, (u32, &Value)> = BTreeMap::new();
         for (destination, (_, members)) in &self.bodies {
             for (id, value) in members {
-                let taken = wanted.get(id.as_str()).map(|(other, _)| *other);
-                match taken {
-                    None => _ = wanted.insert(id, (*destination, value)),
-                    Some(other) => {
-                        // Said once: it is looked at with each change.
-                        let stands =
-                            self.members.get(id).is_some_and(|told| told.destination == other && !told.gone);
-                        if !stands {
-                            refused.push(format!(
-                                "destination {destination}: id: {id:?} is of destination {other}"
-                            ));
-                        }
-                    }
+                let other = wanted.get(id.as_str()).map(|(other, _)| *other);
+                let Some(other) = other else {
+                    wanted.insert(id, (*destination, value));
+                    continue;
+                };
+                // Said once: it is looked at with each change.
+                if !self.taken.contains(&(*destination, id.clone())) {
+                    refused.push(format!("destination {destination}: id: {id:?} is of destination {other}"));
                 }
+                taken.insert((*destination, id.clone()));
             }
         }
+        self.taken = taken;
         self.refused += refused.len() as u64;
         let next = self.revision + 1;
         let mut changed = !self.ready;
@@ -169,18 +170,15 @@
             }
         }
         let mut fresh = Vec::new();
-        for (id, (destination, value)) in wanted {
+        for (id, (_, value)) in wanted {
             match self.members.get_mut(id) {
                 Some(told) if !told.gone && told.value == *value => {}
                 Some(told) => {
-                    *told = Told { revision: next, destination, value: value.clone(), gone: false };
+                    *told = Told { revision: next, value: value.clone(), gone: false };
                     changed = true;
                 }
                 None => {
-                    fresh.push((
-                        id.to_owned(),
-                        Told { revision: next, destination, value: value.clone(), gone: false },
-                    ));
+                    fresh.push((id.to_owned(), Told { revision: next, value: value.clone(), gone: false }));
                     changed = true;
                 }
             }
@@ -213,7 +211,7 @@
 
     /// The list, or what came after a revision.
     pub fn page(&self, from: Option<u64>) -> String {
-        let from = from.filter(|from| (self.floor..=self.revision).contains(from) && *from > 0);
+        let from = from.filter(|from| (self.floor..=self.revision).contains(from));
         let told = self.members.values().filter(|told| match from {
             Some(from) => told.revision > from,
             None => !told.gone,
