--- a/crates/cli/src/assignment.rs
+++ b/crates/cli/src/assignment.rs
@@ -8,6 +8,7 @@
 use indigomast_assignment::catalog::Settings;
 use indigomast_assignment::panel::{self, Report};
 use indigomast_assignment::rehearsal::{Account, Plan};
+use indigomast_lab::assignment::checker::{self, Spread as Times};
 use indigomast_lab::assignment::history::History;
 use indigomast_lab::assignment::stage::{self, Outcome, Sizes};
 use std::fs;
@@ -43,6 +44,9 @@
     /// Play only these faults of the plan, by their numbers: to find the fewest that still fail (processes only)
     #[arg(long, value_delimiter = ',')]
     only: Option<Vec<usize>>,
+    /// Judge a history that was kept, and play nothing (processes only)
+    #[arg(long)]
+    judge: Option<PathBuf>,
     /// Leave files, logs and the history here (processes only)
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -188,9 +192,7 @@
 
 fn tell(outcome: &Outcome) {
     let verdict = &outcome.verdict;
-    let spread = |of: &indigomast_lab::assignment::checker::Spread| {
-        format!("{:.0}/{:.0}/{:.0} ms of {}", of.median, of.p99, of.most, of.count)
-    };
+    let spread = |of: &Times| format!("{:.0}/{:.0}/{:.0} ms of {}", of.median, of.p99, of.most, of.count);
     println!(
         "seed {}: {} in {:.1} s: {} eras, {} changes ({} undone, {} unanswered), in force after {} (median/p99/most), \
          shards gained {}, let go {}, settled after {}; {} parts seen ({} of one position), {} pages, {} daemons' \
@@ -226,7 +228,15 @@
 }
 
 fn play(arguments: Arguments) -> Done {
-    let Arguments { plans, small, only, keep, seed, json, .. } = arguments;
+    let Arguments { plans, small, only, keep, judge, seed, json, .. } = arguments;
+    if let Some(path) = judge {
+        let text = fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let history: History = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        let verdict = checker::check(&history, checker::Bounds::default());
+        verdict.accusations.iter().for_each(|accusation| eprintln!("accused: {accusation}"));
+        println!("{}", serde_json::to_string_pretty(&verdict).map_err(|e| e.to_string())?);
+        return if verdict.is_sound() { Ok(()) } else { Err(Failure::RuleBroken) };
+    }
     let program = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
     let stop = interruption()?;
     let sizes = if small { Sizes::small() } else { Sizes::usual() };
