--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -17,8 +17,8 @@
 use indigomast_keep::process::write_whole;
 use indigomast_sender::http::{Request, put_answer, take_request};
 use indigomast_sender::limits::{Grant, Limits as HttpLimits};
+use indigomast_sender::notices::Post;
 use indigomast_sender::ring::Ring;
-use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
@@ -33,7 +33,7 @@
 const PART: &str = "part";
 const REVISION: &str = "revision";
 /// Revisions set apart with one write.
-const BLOCK: u64 = 65_536;
+const BLOCK: u64 = 4096;
 
 enum Word {
     Above(Outgoing),
@@ -76,7 +76,10 @@
     shown: Mutex<Shown>,
     changed: Condvar,
     over: AtomicBool,
+    reports: Option<SocketAddr>,
+    /// Passed on; and calls with notices that nobody took.
     notices: AtomicU64,
+    notices_kept: AtomicU64,
     above: Arc<Traffic>,
     http: Arc<Traffic>,
     open: Mutex<BTreeMap<u64, Arc<TcpStream>>>,
@@ -154,7 +157,9 @@
             }),
             changed: Condvar::new(),
             over: AtomicBool::new(false),
+            reports: config.reports,
             notices: AtomicU64::new(0),
+            notices_kept: AtomicU64::new(0),
             above: Arc::default(),
             http: Arc::default(),
             open: Mutex::default(),
@@ -260,7 +265,8 @@
             Err(e) => return Err(e),
         };
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let last = known.max(since.as_millis() as u64);
+        // In microseconds: no life uses up its block sooner than that, and doubles hold such numbers until the year 2255.
+        let last = known.max(since.as_micros() as u64);
         let mut revisions = Revisions { path, last, until: last };
         revisions.set_apart(last)?;
         Ok(revisions)
@@ -482,10 +488,12 @@
     stream.set_read_timeout(Some(board.limits.http_idle))?;
     let limits = HttpLimits { body: board.limits.http_body, ..HttpLimits::of(Grant::new(192, 1024, 3.0)) };
     let (mut ring, mut out) = (Ring::default(), Ring::default());
+    let upstream = HttpLimits { report_time: board.limits.report_within, ..limits.clone() };
+    let mut reports = Reports { to: board.reports, post: Post::new(Arc::new(upstream)) };
     loop {
         let close = match take_request(&mut ring, &limits) {
             Ok(Some(request)) => {
-                let (status, body) = answer(&request, board);
+                let (status, body) = answer(&request, board, &mut reports);
                 put_answer(&mut out, status, &body, request.close);
                 request.close
             }
@@ -510,32 +518,45 @@
     }
 }
 
-/// A notice of a text's end, as daemons post them.
-#[derive(Deserialize)]
-struct Notice {
-    #[allow(dead_code, reason = "has to be there")]
-    id: String,
-    #[allow(dead_code, reason = "has to be there")]
-    status: String,
+/// Passes a daemon's notices on, all or none of them: what it is told is what whoever takes them said.
+struct Reports {
+    to: Option<SocketAddr>,
+    post: Post,
 }
 
-fn answer(request: &Request, board: &Board) -> (u16, String) {
+impl Reports {
+    fn pass_on(&mut self, body: &[u8], board: &Board) -> u16 {
+        let Ok(text) = std::str::from_utf8(body) else { return 400 };
+        let Some(to) = self.to else {
+            // Nobody is told of these ends: said once, not once a notice.
+            if board.notices_kept.fetch_add(1, Ordering::Relaxed) == 0 {
+                log::warn!("reports: no address is given: notices are answered 503 and stay with the daemon");
+            }
+            return 503;
+        };
+        match self.post.post(to, "/reports", text) {
+            Ok(204) => {
+                let count = text.lines().filter(|line| !line.is_empty()).count();
+                board.notices.fetch_add(count as u64, Ordering::Relaxed);
+                204
+            }
+            Ok(400) => 400,
+            other => {
+                if board.notices_kept.fetch_add(1, Ordering::Relaxed) == 0 {
+                    log::warn!("reports: {to}: {other:?}; the daemon keeps its notices");
+                }
+                503
+            }
+        }
+    }
+}
+
+fn answer(request: &Request, board: &Board, reports: &mut Reports) -> (u16, String) {
     let path = request.path.split('?').next().unwrap_or_default();
     match (request.method.as_str(), path) {
         ("GET", "/discovery/hosts") => list(&request.path, board),
         ("GET", "/status") => (200, status(board).to_string()),
-        ("POST", "/reports") => {
-            let Ok(text) = std::str::from_utf8(&request.body) else { return (400, String::new()) };
-            let lines = text.lines().filter(|line| !line.is_empty());
-            let read = lines.map(|line| serde_json::from_str::<Notice>(line).ok());
-            match read.collect::<Option<Vec<_>>>() {
-                Some(notices) => {
-                    board.notices.fetch_add(notices.len() as u64, Ordering::Relaxed);
-                    (204, String::new())
-                }
-                None => (400, String::new()),
-            }
-        }
+        ("POST", "/reports") => (reports.pass_on(&request.body, board), String::new()),
         (_, "/discovery/hosts" | "/status" | "/reports") => (405, String::new()),
         _ => (404, String::new()),
     }
@@ -587,6 +608,8 @@
         "list_revision": shown.listing.revision(),
         "bodies_refused": shown.listing.refused,
         "notices": board.notices.load(Ordering::Relaxed),
+        "notices_kept": board.notices_kept.load(Ordering::Relaxed),
+        "reports": board.reports,
         "trouble": shown.trouble,
         "bytes_in_out": {"above": board.above.get(), "http": board.http.get()},
     })
--- a/crates/control-plane/src/config.rs
+++ b/crates/control-plane/src/config.rs
@@ -57,6 +57,10 @@
     pub state: PathBuf,
     /// As every control process of the fleet has it.
     pub shards: u32,
+    /// The platform, which takes its daemon's notices of texts' ends. Without one they are answered 503, and stay with the
+    /// daemon, which keeps and repeats them.
+    #[serde(default)]
+    pub reports: Option<SocketAddr>,
 }
 
 fn owners() -> usize {
@@ -188,6 +192,9 @@
     fn check(&self) -> Result<(), String> {
         check_shards(self.shards)?;
         check_addresses("relays", &self.relays)?;
+        if let Some(reports) = &self.reports {
+            check_addresses("reports", std::slice::from_ref(reports))?;
+        }
         if !self.listen.ip().is_loopback() {
             return Err(format!("listen: {}, a daemon beside it comes by loopback", self.listen));
         }
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -9,7 +9,7 @@
 use crate::copy::{Copy, Found};
 use crate::limits::Limits;
 use crate::moment;
-use crate::order::{Hearing, Order, open_first};
+use crate::order::{Order, OrderSession, open_first};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use indigomast::time::Moment;
 use indigomast_assignment::budget;
@@ -74,7 +74,7 @@
 pub struct Control {
     pub address: SocketAddr,
     mailbox: Sender<Word>,
-    door: Arc<Door>,
+    acceptor: Arc<Acceptor>,
     actor: Option<JoinHandle<()>>,
     listener: Option<JoinHandle<()>>,
 }
@@ -93,7 +93,7 @@
 }
 
 /// What listens, and whoever has come in.
-struct Door {
+struct Acceptor {
     limits: Arc<Limits>,
     secret: Secret,
     mailbox: Sender<Word>,
@@ -126,7 +126,7 @@
         let limits = Arc::new(limits);
         let (mailbox, words) = bounded(limits.mailbox);
         let bytes = Arc::<Bytes>::default();
-        let door = Arc::new(Door {
+        let acceptor = Arc::new(Acceptor {
             limits: Arc::clone(&limits),
             secret: secret.clone(),
             mailbox: mailbox.clone(),
@@ -188,13 +188,13 @@
             .name("control".into())
             .spawn(move || actor.run(&words))
             .map_err(no_thread)?;
-        let own = Arc::clone(&door);
+        let own = Arc::clone(&acceptor);
         let listener = thread::Builder::new()
             .name("listen".into())
-            .stack_size(door.limits.stack)
+            .stack_size(acceptor.limits.stack)
             .spawn(move || own.listen(&listener))
             .map_err(no_thread)?;
-        Ok(Control { address, mailbox, door, actor: Some(actor), listener: Some(listener) })
+        Ok(Control { address, mailbox, acceptor, actor: Some(actor), listener: Some(listener) })
     }
 
     /// Whether the actor still runs; it ends before it is stopped only by a fault of its own.
@@ -208,13 +208,13 @@
     }
 
     fn end(&mut self) {
-        self.door.over.store(true, Ordering::Release);
+        self.acceptor.over.store(true, Ordering::Release);
         // Wakes the one that listens.
         _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
         join(self.listener.take());
         _ = self.mailbox.send(Word::Stop);
         join(self.actor.take());
-        self.door.open().values().for_each(|stream| _ = stream.shutdown(Shutdown::Both));
+        self.acceptor.open().values().for_each(|stream| _ = stream.shutdown(Shutdown::Both));
     }
 }
 
@@ -226,12 +226,12 @@
     }
 }
 
-impl Door {
+impl Acceptor {
     fn open(&self) -> MutexGuard<'_, HashMap<u64, Arc<TcpStream>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn listen(self: Arc<Door>, listener: &TcpListener) {
+    fn listen(self: Arc<Acceptor>, listener: &TcpListener) {
         let mut peer = 0;
         for stream in listener.incoming() {
             if self.over.load(Ordering::Acquire) {
@@ -251,12 +251,12 @@
                 }
                 open.insert(peer, Arc::clone(&stream));
             }
-            let door = Arc::clone(&self);
+            let acceptor = Arc::clone(&self);
             let serve = move || {
-                if let Err(fault) = door.serve(peer, stream) {
-                    _ = door.mailbox.send(Word::Refused(fault));
+                if let Err(fault) = acceptor.serve(peer, stream) {
+                    _ = acceptor.mailbox.send(Word::Refused(fault));
                 }
-                door.open().remove(&peer);
+                acceptor.open().remove(&peer);
             };
             let thread = thread::Builder::new().name("come".into()).stack_size(self.limits.stack);
             if thread.spawn(serve).is_err() {
@@ -287,7 +287,7 @@
             self.bytes.orders.read.fetch_add(count, Ordering::Relaxed);
             let under_way = self.orders.fetch_add(1, Ordering::AcqRel);
             let done = if under_way < limits.orders {
-                self.order(&stream, &mut lines, &Hearing::new(&self.secret, &first, rand::random()))
+                self.order(&stream, &mut lines, &OrderSession::new(&self.secret, &first, rand::random()))
             } else {
                 Ok(())
             };
@@ -322,7 +322,7 @@
         done
     }
 
-    fn order(&self, stream: &Arc<TcpStream>, lines: &mut Lines, hearing: &Hearing) -> Result<(), Fault> {
+    fn order(&self, stream: &Arc<TcpStream>, lines: &mut Lines, session: &OrderSession) -> Result<(), Fault> {
         let limits = &self.limits;
         let traffic = &self.bytes.orders;
         // One line after the other, so this thread writes as well.
@@ -333,7 +333,7 @@
                 .set_write_timeout(Some(limits.write_within))
                 .and_then(|()| (&**stream).write_all(line.as_bytes()))
         };
-        if say(hearing.challenge()).is_err() {
+        if say(session.challenge()).is_err() {
             return Ok(());
         }
         let line = lines.next(limits.order, Some(Instant::now() + limits.first_line_within));
@@ -343,14 +343,14 @@
             Err(e) if e.kind() == io::ErrorKind::InvalidData => return Err(form("order", e.to_string())),
             Err(_) => return Ok(()),
         };
-        let order = match hearing.open(&line) {
+        let order = match session.open(&line) {
             Ok(order) => order,
             Err(wrong) if wrong.contains("checksum") => {
                 return Err(Fault { kind: Kind::Forged, place: "order".into(), wrong });
             }
             Err(wrong) => {
                 // Who knows the key is told what is wrong with it.
-                _ = say(hearing.seal(&json!({"refused": format!("order: {wrong}")})));
+                _ = say(session.seal(&json!({"refused": format!("order: {wrong}")})));
                 return Err(form("order", wrong));
             }
         };
@@ -361,7 +361,7 @@
         let answer = answered.recv_timeout(limits.answer_within).unwrap_or_else(
             |_| json!({"refused": "no answer in time; whether it was carried out isn't known"}),
         );
-        _ = say(hearing.seal(&answer));
+        _ = say(session.seal(&answer));
         Ok(())
     }
 }
--- a/crates/control-plane/src/limits.rs
+++ b/crates/control-plane/src/limits.rs
@@ -35,6 +35,9 @@
     pub http_idle: Duration,
     /// Bytes of a report.
     pub http_body: usize,
+    /// For a connection to whoever takes notices, and again for the answer. Both together end within the second that a
+    /// daemon waits: what it sends again it has not been told was taken.
+    pub report_within: Duration,
     /// The longest that a watch is held.
     pub hold: Duration,
     /// Members that have gone and are remembered, so that a watch tells of them; beyond, the whole list is told.
@@ -61,6 +64,7 @@
             http_connections: 64,
             http_idle: Duration::from_secs(90),
             http_body: 1 << 20,
+            report_within: Duration::from_millis(400),
             hold: Duration::from_secs(60),
             gone: 4096,
             stack: 256 << 10,
--- a/crates/control-plane/src/order.rs
+++ b/crates/control-plane/src/order.rs
@@ -79,17 +79,17 @@
 }
 
 /// The process's side of one connection: the answer to the first line, and the way to read the order and answer it.
-pub(crate) struct Hearing {
+pub(crate) struct OrderSession {
     secret: Secret,
     first: String,
     name: String,
     challenge: u64,
 }
 
-impl Hearing {
-    pub(crate) fn new(secret: &Secret, first: &First, challenge: u64) -> Hearing {
+impl OrderSession {
+    pub(crate) fn new(secret: &Secret, first: &First, challenge: u64) -> OrderSession {
         let number = first.number;
-        Hearing {
+        OrderSession {
             secret: secret.clone(),
             first: format!("{FIRST} {number:016x}"),
             name: format!("{FIRST} {number:016x} {challenge:016x}"),
