Assignment: what a lost connection took along is said again, and the next one can be had

Need: the rig on real processes found shards with three owners for 32 s after all faults (of several shards that a sender took in, one was proven at its next hello, one with each acknowledgement, and what came while the relay had no controller never), and a sender told 11.8 s late, as its first lines had spent its upward budget. Change: a hello proves all joining shards it holds, an acknowledgement all it covers; a relay keeps what is served until the controller has taken it in and says it on each new connection; a hello is paid for with what the sender may be sent and wasn't, which its credit says, so that the sum of both ways stays within 20,412 bytes in 10 s.

--- a/crates/assignment/src/controller.rs
+++ b/crates/assignment/src/controller.rs
@@ -178,20 +178,21 @@
                 self.look(now);
             }
             Event::Line { peer, line } => {
-                match self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below) {
-                    Some(Heard::Deposed(epoch)) => {
-                        self.deposed = Some(epoch);
-                        out.push(Action::Deposed(epoch));
-                        out.extend(below.into_iter().map(Action::Below));
-                        return out;
-                    }
-                    Some(Heard::Serves { sender, shard, epoch }) => {
-                        let current = self.replica.shard(shard).is_some_and(|known| known.epoch == epoch);
-                        if current && let Some(owners) = self.placement.serves(shard, sender) {
-                            self.assign(now, shard, owners);
+                for heard in self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below) {
+                    match heard {
+                        Heard::Deposed(epoch) => {
+                            self.deposed = Some(epoch);
+                            out.push(Action::Deposed(epoch));
+                            out.extend(below.into_iter().map(Action::Below));
+                            return out;
+                        }
+                        Heard::Serves { sender, shard, epoch } => {
+                            let current = self.replica.shard(shard).is_some_and(|known| known.epoch == epoch);
+                            if current && let Some(owners) = self.placement.serves(shard, sender) {
+                                self.assign(now, shard, owners);
+                            }
                         }
                     }
-                    None => {}
                 }
             }
             Event::Lost { peer } => self.publisher.lost(peer),
--- a/crates/assignment/src/publisher.rs
+++ b/crates/assignment/src/publisher.rs
@@ -184,7 +184,7 @@
         }
     }
 
-    /// A line of a subscriber.
+    /// A line of a subscriber, and what it says beside that.
     pub fn line(
         &mut self,
         now: Moment,
@@ -193,38 +193,38 @@
         replica: &Replica,
         epoch: u32,
         out: &mut Vec<Action>,
-    ) -> Option<Heard> {
+    ) -> Vec<Heard> {
         let Some(session) = self.sessions.get(&peer) else {
             return match open_hello(&self.secret, line) {
                 Ok(hello) => self.hello(now, peer, hello, replica, epoch, out),
                 Err(fault) => {
                     self.refuse(peer, fault, out);
-                    None
+                    Vec::new()
                 }
             };
         };
         match open_up(&self.secret, session.who, session.challenge, line) {
             Ok(Up::Ack(number)) => self.acked(now, peer, number, out),
             Ok(Up::Serves { sender, shard, epoch }) if matches!(session.who, Who::Relay(_)) => {
-                Some(Heard::Serves { sender, shard, epoch })
+                vec![Heard::Serves { sender, shard, epoch }]
             }
             Ok(Up::Serves { .. }) => {
                 self.refuse(peer, Fault::meaning("serves", "a sender says so by its acknowledgements"), out);
-                None
+                Vec::new()
             }
             Err(fault) => {
                 self.refuse(peer, fault, out);
-                None
+                Vec::new()
             }
         }
     }
 
-    fn acked(&mut self, now: Moment, peer: Peer, number: u64, out: &mut Vec<Action>) -> Option<Heard> {
-        let session = self.sessions.get_mut(&peer)?;
+    fn acked(&mut self, now: Moment, peer: Peer, number: u64, out: &mut Vec<Action>) -> Vec<Heard> {
+        let Some(session) = self.sessions.get_mut(&peer) else { return Vec::new() };
         if number > session.number {
             let sent = session.number;
             self.refuse(peer, Fault::new(Kind::Order, "ack", format!("{number}, {sent} were sent")), out);
-            return None;
+            return Vec::new();
         }
         session.heard = now;
         while let Some((known, bytes)) = session.out.front().copied()
@@ -233,17 +233,15 @@
             session.unacked -= bytes;
             session.out.pop_front();
         }
-        // One proof with each acknowledgement; those left come with the next, a heartbeat later at most.
-        let proof = session.proofs.front().copied().filter(|(known, ..)| *known <= number);
-        if proof.is_some() {
-            session.proofs.pop_front();
-        }
         let who = session.who;
-        self.wake_sooner(peer, now);
-        match (who, proof) {
-            (Who::Sender(sender), Some((_, shard, epoch))) => Some(Heard::Serves { sender, shard, epoch }),
-            _ => None,
+        let mut served = Vec::new();
+        while let Some((_, shard, epoch)) = session.proofs.pop_front_if(|(known, ..)| *known <= number) {
+            if let Who::Sender(sender) = who {
+                served.push(Heard::Serves { sender, shard, epoch });
+            }
         }
+        self.wake_sooner(peer, now);
+        served
     }
 
     fn hello(
@@ -254,19 +252,19 @@
         replica: &Replica,
         epoch: u32,
         out: &mut Vec<Action>,
-    ) -> Option<Heard> {
+    ) -> Vec<Heard> {
         if hello.epoch > epoch {
             self.say_refused(now, peer, &hello, replica, Reason::Behind, out);
-            return Some(Heard::Deposed(hello.epoch));
+            return vec![Heard::Deposed(hello.epoch)];
         }
         if let Who::Controller(_) = hello.who {
             self.say_refused(now, peer, &hello, replica, Reason::Deposed(epoch), out);
-            return None;
+            return Vec::new();
         }
         if let Some(shard) = hello.held.iter().find(|shard| **shard >= replica.shard_count()) {
             let wrong = format!("{shard}, there are {}", replica.shard_count());
             self.refuse(peer, Fault::meaning("held", wrong), out);
-            return None;
+            return Vec::new();
         }
         // Some of what it has may be newer than its position: that has to be of this history too, else all is told anew.
         let seen = hello.seen.map(|seen| replica.agreement(seen));
@@ -274,7 +272,7 @@
         let agreement = hello.position.filter(|_| !parted).map(|position| replica.agreement(position));
         if agreement == Some(Agreement::Ahead) || seen == Some(Agreement::Ahead) {
             self.say_refused(now, peer, &hello, replica, Reason::Behind, out);
-            return None;
+            return Vec::new();
         }
         // One that has parted goes back to where it had not, if it can; else it comes again with nothing.
         let last = hello.position.max(hello.seen);
@@ -282,7 +280,7 @@
             && let Some(common) = last.and_then(|last| replica.common_with(last))
         {
             self.say_refused(now, peer, &hello, replica, Reason::Parted(common), out);
-            return None;
+            return Vec::new();
         }
         // Who comes again has lost its earlier connection, whether or not that has been noticed here.
         if let Some(before) = self.by_who.get(&hello.who).copied() {
@@ -290,7 +288,7 @@
         }
         if self.sessions.len() >= self.most {
             self.say_refused(now, peer, &hello, replica, Reason::Full, out);
-            return None;
+            return Vec::new();
         }
         let bucket = Bucket::new(self.pace.rate, self.pace.burst, f64::from(hello.credit), now);
         let mut session = Session {
@@ -317,7 +315,7 @@
             !parted && taken.shard < replica.shard_count() && replica.agreement(taken.base) == Agreement::Same
         };
         let taken = hello.taken.as_ref().filter(whole);
-        let mut serves = None;
+        let mut serves = Vec::new();
         match hello.who {
             Who::Controller(_) => {}
             Who::Relay(_) if session.through.is_some() => {
@@ -373,11 +371,11 @@
                     let joining = |shard: &&u32| {
                         session.holds.contains(shard) && replica.owners(**shard).joining() == Some(sender)
                     };
-                    // It took the shard in, and the relay that should have said so is gone.
-                    serves = part.iter().find(joining).map(|shard| {
+                    // It took the shards in, and the relay that should have said so is gone.
+                    serves.extend(part.iter().filter(joining).map(|shard| {
                         let epoch = replica.shard(*shard).map_or(0, |known| known.epoch);
                         Heard::Serves { sender, shard: *shard, epoch }
-                    });
+                    }));
                 } else {
                     session.walk =
                         Some(Walk::new(true, replica.position(), Some(part.iter().copied().collect())));
--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::wire::{open_frame, open_hello, seal_hello, seal_up};
 use indigomast::time::Moment;
 use indigomast_rollout::wire::Secret;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
@@ -68,6 +69,9 @@
     dormant: bool,
     /// Forgotten, and not told anew yet: nobody is served meanwhile.
     suspects: Vec<Key>,
+    /// Shards that whoever joins their owners serves by now, as said by them, until the controller has taken that in: said
+    /// once more on each connection, since the one before may have ended first.
+    served: BTreeMap<u32, (u32, u32)>,
     publisher: Publisher,
     pub refusals: Refusals,
 }
@@ -104,6 +108,7 @@
             staging: None,
             dormant: false,
             suspects: Vec::new(),
+            served: BTreeMap::new(),
             publisher,
             refusals: Refusals::default(),
         }
@@ -165,20 +170,21 @@
                 below.push(publisher::Action::Drop { peer });
             }
             Event::SenderLine { peer, line } => {
-                let heard = self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below);
-                match heard {
-                    Some(Heard::Deposed(epoch)) => {
-                        self.epoch = self.epoch.max(epoch);
-                        // Whoever this listens to may be of an earlier one: it will say so itself.
-                        if self.link.is_up() && self.replica.epoch() < epoch {
-                            self.link.failed(now);
-                            out.push(Action::Disconnect);
+                for heard in self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below) {
+                    match heard {
+                        Heard::Deposed(epoch) => {
+                            self.epoch = self.epoch.max(epoch);
+                            // Whoever this listens to may be of an earlier one: it will say so itself.
+                            if self.link.is_up() && self.replica.epoch() < epoch {
+                                self.link.failed(now);
+                                out.push(Action::Disconnect);
+                            }
+                        }
+                        Heard::Serves { sender, shard, epoch } => {
+                            self.served.insert(shard, (sender, epoch));
+                            self.serves(sender, shard, epoch, &mut out);
                         }
                     }
-                    Some(Heard::Serves { sender, shard, epoch }) => {
-                        self.serves(sender, shard, epoch, &mut out)
-                    }
-                    None => {}
                 }
             }
             Event::SenderLost { peer } => self.publisher.lost(peer),
@@ -239,6 +245,16 @@
         }
     }
 
+    /// Forgets what the controller has taken in, or has decided otherwise since.
+    fn settle(&mut self) {
+        let replica = &self.replica;
+        self.served.retain(|shard, (sender, epoch)| {
+            replica
+                .shard(*shard)
+                .is_some_and(|known| known.epoch <= *epoch && known.owners.joining() == Some(*sender))
+        });
+    }
+
     fn serves(&self, sender: u32, shard: u32, epoch: u32, out: &mut Vec<Action>) {
         if self.link.is_up() {
             let up = Up::Serves { sender, shard, epoch };
@@ -300,6 +316,12 @@
         for record in &frame.records {
             self.take(now, record, below);
         }
+        if self.number == 1 {
+            self.settle();
+            for (shard, (sender, epoch)) in &self.served {
+                self.serves(*sender, *shard, *epoch, out);
+            }
+        }
         if let Some(through) = frame.through
             && self.filled
             && (self.dormant || self.staging.is_none())
@@ -418,6 +440,11 @@
                     staging.replica.fill(staging.open.unwrap_or(0), record);
                 } else if let Ok(Some((key, before))) = self.replica.apply(record) {
                     self.publisher.changed(now, &self.replica, key, before);
+                    if let Key::Shard(shard) = key
+                        && self.replica.owners(shard).joining().is_none()
+                    {
+                        self.served.remove(&shard);
+                    }
                 }
             }
         }
--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -17,6 +17,8 @@
 /// Shards touched lately that are remembered, and so many that are told one by one if they must be told anew.
 const MOST_RECENT: usize = 64;
 const MOST_SUSPECTS: usize = 32;
+/// A relay that may send less can hardly answer.
+const LEAST_CREDIT: f64 = 512.0;
 
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -343,6 +345,16 @@
             hello.suspects.clear();
             line = seal_hello(&self.secret, &hello);
         }
+        // What it may be sent and wasn't pays for what it has to say and may not: several connections that end soon after one
+        // another would else leave it without one for as long as a line takes at its rate. The sum of both stays what it was.
+        let needed = (line.len() + 1) as f64;
+        let lacking = needed - self.up.level(now);
+        if lacking > 0.0 && self.down.level(now) - lacking >= LEAST_CREDIT {
+            self.down.spend(now, lacking);
+            self.up.spend(now, -lacking);
+            hello.credit = self.down.level(now) as u32;
+            line = seal_hello(&self.secret, &hello);
+        }
         let when = self.up.when(now, (line.len() + 1) as f64);
         if !self.say(now, line, out) {
             self.link.failed(now);
