Control plane: a part is shown when it is of one position, or after two seconds as it is

Need: the rig on real processes saw parts that the controller never said as a whole: of what changed twice the later line comes in the place of the earlier, so between two frames one destination can be newer than another, and the position ahead of a line. Change: Subscriber::is_settled: all that the relay knew with its last frame is in. An agent shows a part when it has settled, or after 2 s (limits.settle) as it is, with the position of the last that had.

--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -107,6 +107,8 @@
     recent_from: u64,
     /// Shards that a controller touched which was no longer the one: told anew before anything else of them counts.
     suspects: BTreeSet<u32>,
+    /// All that its relay knew is in, so that the part is what the controller said at one position.
+    settled: bool,
     up: Bucket,
     down: Bucket,
     pace: Pace,
@@ -143,6 +145,7 @@
             recent: VecDeque::new(),
             recent_from: 0,
             suspects: BTreeSet::new(),
+            settled: false,
             up: Bucket::new(budget::SENDER_UP_RATE, budget::SENDER_UP_BURST, budget::SENDER_UP_BURST, now),
             down: Bucket::new(pace.rate, pace.burst, pace.burst, now),
             pace,
@@ -198,6 +201,7 @@
             }
         }
         self.recent_from = part.newest;
+        self.settled = part.position.is_some();
         self.part = part;
         self.epoch = self.epoch.max(saved.epoch);
         Ok(())
@@ -253,6 +257,12 @@
         &self.part
     }
 
+    /// Whether what is in force is what the controller said at one position, [`Part::position`]: all that the relay knew with
+    /// its last frame is in. In between, each destination is as new as that position or newer, or about to be.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
     /// Shards that stand as a controller said which was no longer the one, until they are told anew.
     pub fn in_doubt(&self) -> &BTreeSet<u32> {
         &self.suspects
@@ -389,6 +399,7 @@
             self.part.seen = known.then_some(common);
             (self.recent_from, self.recent) = (self.recent_from.min(common.revision), VecDeque::new());
             self.staging = None;
+            self.settled = false;
             self.epoch = frame.at.epoch;
             self.link.again(now);
             out.push(Action::Disconnect);
@@ -426,6 +437,7 @@
             self.part.position = Some(through);
             self.part.seen = Some(self.part.seen.map_or(through, |seen| seen.max(through)));
         }
+        self.settled = frame.through == Some(frame.at) && self.staging.is_none() && self.suspects.is_empty();
         // One acknowledgement stands for those before it: what the budget holds back comes with the next.
         let ack = seal_up(&self.secret, who, self.link.challenge(), Up::Ack(self.number));
         if self.say(now, ack, out) {
--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -193,6 +193,7 @@
             disk: Some(disk),
             saving: None,
             unsaved: false,
+            unsettled: None,
             again: None,
         };
         if resumed {
@@ -293,6 +294,8 @@
     saving: Option<Capture>,
     /// What is in force is another than was handed to the disk last.
     unsaved: bool,
+    /// Since when that has waited for the part to be of one position.
+    unsettled: Option<Instant>,
     /// A save has failed: it is tried again after this.
     again: Option<Instant>,
 }
@@ -349,7 +352,7 @@
         }
         let mut shown = self.board.shown();
         // Nothing waits for the disk: what is shown is what is in force, and may be so as of later.
-        if self.saving.is_none() && !self.unsaved {
+        if self.saving.is_none() && !self.unsaved && self.subscriber.is_settled() {
             shown.position = self.subscriber.part().position;
         }
         shown.up = self.subscriber.is_connected();
@@ -364,7 +367,8 @@
         Capture {
             destinations: destinations.collect(),
             common: part.common.clone(),
-            position: part.position,
+            // Between two positions it has all up to the one before.
+            position: part.position.filter(|_| self.subscriber.is_settled()),
             shards: part.shards.len(),
         }
     }
@@ -374,7 +378,7 @@
         let board = Arc::clone(&self.board);
         let mut shown = board.shown();
         (shown.destinations, shown.common) = (capture.destinations, capture.common);
-        (shown.position, shown.shards) = (capture.position, capture.shards);
+        (shown.position, shown.shards) = (capture.position.or(shown.position), capture.shards);
         // Before a first shard was its own there is no list: a daemon would take one with nobody in it for its word.
         if shown.listing.is_ready() || capture.shards > 0 {
             self.list(&mut shown);
@@ -407,11 +411,16 @@
         if self.saving.is_some() || !self.unsaved {
             return;
         }
+        if !self.subscriber.is_settled()
+            && self.unsettled.get_or_insert_with(Instant::now).elapsed() < self.board.limits.settle
+        {
+            return;
+        }
         if let Some(saves) = &self.saves
             && saves.try_send(self.subscriber.saved()).is_ok()
         {
             self.saving = Some(self.capture());
-            self.unsaved = false;
+            (self.unsaved, self.unsettled) = (false, None);
         }
     }
 
@@ -430,7 +439,8 @@
     /// Saves what is in force, and ends.
     fn leave(mut self, words: &Receiver<Word>) {
         let by = Instant::now() + Duration::from_secs(10);
-        self.unsaved |= self.board.shown().listing.is_ready();
+        // With nothing ever in force there is nothing to save; what has not settled is told anew by the next life's relay.
+        self.unsaved = self.board.shown().listing.is_ready() && self.subscriber.is_settled();
         self.save();
         while self.saving.is_some() {
             match words.recv_timeout(by.saturating_duration_since(Instant::now())) {
--- a/crates/control-plane/tests/carrier/bad_input.rs
+++ b/crates/control-plane/tests/carrier/bad_input.rs
@@ -1,17 +1,17 @@
 //! What is forged, cut, too long, of another version or was heard before is refused by whoever reads it,
 //! counted, and changes nothing.
 
-use crate::support::{Fleet, PATIENCE, SHARDS, call, get, member, secret, until};
+use crate::support::{Fleet, Hand, SHARDS, call, frame, get, member, secret, taken, until};
 use indigomast_assignment::catalog::{Owners, Position, shard_of};
 use indigomast_assignment::wire::{
-    Frame, Hello, Record, Up, VERSION, Who, open_frame, open_hello, seal_frame, seal_hello, seal_up,
+    Frame, Hello, Record, Up, VERSION, Who, open_frame, seal_frame, seal_hello, seal_up,
 };
 use indigomast_control_plane::limits::Limits;
 use indigomast_control_plane::order::Order;
 use indigomast_rollout::wire::Way;
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::Read;
+use std::net::TcpListener;
 use std::time::Duration;
 
 fn hello(who: Who, epoch: u32) -> Hello {
@@ -29,46 +29,6 @@
     }
 }
 
-/// A connection that says what it is told to, and reads lines.
-struct Hand {
-    stream: TcpStream,
-    lines: BufReader<TcpStream>,
-}
-
-impl Hand {
-    fn to(address: SocketAddr) -> Hand {
-        Hand::of(TcpStream::connect(address).expect("it listens"))
-    }
-
-    fn of(stream: TcpStream) -> Hand {
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
-        let lines = BufReader::new(stream.try_clone().expect("a copy"));
-        Hand { stream, lines }
-    }
-
-    fn say(&mut self, bytes: impl AsRef<[u8]>) {
-        // It may have been ended by the other side already; what is looked at is what that did.
-        _ = self.stream.write_all(bytes.as_ref());
-    }
-
-    fn line(&mut self, line: &str) {
-        self.say(format!("{line}\n"));
-    }
-
-    /// The next line; None at the end.
-    fn next(&mut self) -> Option<String> {
-        let mut line = String::new();
-        match self.lines.read_line(&mut line) {
-            Ok(count) if count > 0 => Some(line.trim_end().to_owned()),
-            _ => None,
-        }
-    }
-
-    fn ended(&mut self) {
-        while self.next().is_some() {}
-    }
-}
-
 fn forge(line: &str) -> String {
     let mut forged = line.to_owned();
     forged.replace_range(0..1, if line.starts_with('0') { "1" } else { "0" });
@@ -234,18 +194,6 @@
     counted(&fleet, 0, 3);
 }
 
-/// A relay that isn't one: takes an agent's or a relay's connection and says what it is told to.
-fn taken(listener: &TcpListener) -> (Hand, Hello) {
-    let (stream, _) = listener.accept().expect("it comes");
-    let mut hand = Hand::of(stream);
-    let line = hand.next().expect("a first line");
-    (hand, open_hello(&secret(), &line).expect("good"))
-}
-
-fn frame(number: u64, at: Position, through: Option<Position>, records: Vec<Record>) -> Frame {
-    Frame { version: VERSION, number, at, through, records }
-}
-
 #[test]
 fn frames_that_are_forged_replayed_or_of_another_version_never_reach_what_an_agent_has_in_force() {
     let mut fleet = Fleet::new(0);
--- a/crates/control-plane/tests/carrier/main.rs
+++ b/crates/control-plane/tests/carrier/main.rs
@@ -6,4 +6,5 @@
 mod copy;
 mod listing;
 mod processes;
+mod settled;
 mod support;
--- a/crates/control-plane/tests/carrier/support.rs
+++ b/crates/control-plane/tests/carrier/support.rs
@@ -1,5 +1,7 @@
 //! Folders, processes within the test's own, and hands that speak the lines.
 
+use indigomast_assignment::catalog::Position;
+use indigomast_assignment::wire::{Frame, Hello, Record, VERSION, open_hello};
 use indigomast_control_plane::agent::Agent;
 use indigomast_control_plane::config;
 use indigomast_control_plane::control::Control;
@@ -10,8 +12,8 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -227,3 +229,55 @@
         .map(|member| (member["id"].as_str().expect("an id").to_owned(), member["phase"] == "Gone"))
         .collect()
 }
+
+/// A connection that says what it is told to, and reads lines.
+pub struct Hand {
+    stream: TcpStream,
+    pub lines: BufReader<TcpStream>,
+}
+
+impl Hand {
+    pub fn to(address: SocketAddr) -> Hand {
+        Hand::of(TcpStream::connect(address).expect("it listens"))
+    }
+
+    pub fn of(stream: TcpStream) -> Hand {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time is set");
+        let lines = BufReader::new(stream.try_clone().expect("a copy"));
+        Hand { stream, lines }
+    }
+
+    pub fn say(&mut self, bytes: impl AsRef<[u8]>) {
+        // It may have been ended by the other side already; what is looked at is what that did.
+        _ = self.stream.write_all(bytes.as_ref());
+    }
+
+    pub fn line(&mut self, line: &str) {
+        self.say(format!("{line}\n"));
+    }
+
+    /// The next line; None at the end.
+    pub fn next(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.lines.read_line(&mut line) {
+            Ok(count) if count > 0 => Some(line.trim_end().to_owned()),
+            _ => None,
+        }
+    }
+
+    pub fn ended(&mut self) {
+        while self.next().is_some() {}
+    }
+}
+
+/// A relay that isn't one: takes an agent's or a relay's connection and says what it is told to.
+pub fn taken(listener: &TcpListener) -> (Hand, Hello) {
+    let (stream, _) = listener.accept().expect("it comes");
+    let mut hand = Hand::of(stream);
+    let line = hand.next().expect("a first line");
+    (hand, open_hello(&secret(), &line).expect("good"))
+}
+
+pub fn frame(number: u64, at: Position, through: Option<Position>, records: Vec<Record>) -> Frame {
+    Frame { version: VERSION, number, at, through, records }
+}
