Lab: an owner that went and came back between two looks is seen by its place

Change: who joins is appended to a shard's owners, so a changed order bears witness of what went in between; owners are asked every 100 ms. A history in which the order didn't change is accused as before.

--- a/crates/lab/src/assignment/checker.rs
+++ b/crates/lab/src/assignment/checker.rs
@@ -197,6 +197,13 @@
     checker.verdict
 }
 
+/// Whether one of two lists of owners, which both have it, stands behind one whom it stood before.
+fn rejoined(sender: u32, was: &[u32], owners: &[u32]) -> bool {
+    let place = |list: &[u32], one: u32| list.iter().position(|known| *known == one);
+    let (Some(old), Some(new)) = (place(was, sender), place(owners, sender)) else { return false };
+    was[old + 1..].iter().any(|other| place(owners, *other).is_some_and(|at| at < new))
+}
+
 /// What still differs from the end that is asked for, so that a run needn't go on for longer than it takes.
 pub fn differences(history: &History) -> Vec<Accusation> {
     let mut checker = Checker::new(history, Bounds::default());
@@ -367,9 +374,15 @@
     /// look after that moment at the controller that the part follows; where that one isn't asked any more, by a while after.
     fn was_owner(&self, part: &PartSeen, shard: u32, is: bool, from: u64) -> bool {
         let (by_ms, epoch) = (part.at_ms, part.position.map(|at| at.epoch));
+        let mut before: BTreeMap<u32, &Vec<u32>> = BTreeMap::new();
+        let none = Vec::new();
         for seen in &self.history.owners {
-            let has = seen.owners.get(&shard).is_some_and(|owners| owners.contains(&part.sender));
-            if has == is && seen.position.revision >= from {
+            let owners = seen.owners.get(&shard).unwrap_or(&none);
+            let was = before.insert(seen.position.epoch, owners);
+            // Who joins is appended: one that stands behind another whom it stood before had gone in between.
+            let rejoined = was.is_some_and(|was| rejoined(part.sender, was, owners));
+            let has = owners.contains(&part.sender);
+            if seen.position.revision >= from && (has == is || (!is && rejoined)) {
                 return true;
             }
             let same = epoch.is_none_or(|epoch| epoch == seen.position.epoch);
--- a/crates/lab/src/assignment/stage.rs
+++ b/crates/lab/src/assignment/stage.rs
@@ -107,7 +107,7 @@
 const NOWHERE: &str = "127.0.0.1:1";
 const ORDER: Duration = Duration::from_secs(3);
 const BEAT: Duration = Duration::from_millis(10);
-const OWNERS_LOOK: Duration = Duration::from_millis(150);
+const OWNERS_LOOK: Duration = Duration::from_millis(100);
 /// Until all is as the controller says, after the last fault.
 const SETTLE: Duration = Duration::from_secs(32);
 /// A control process is looked for where there should be a controller and none is.
--- a/crates/lab/tests/assignment_checker.rs
+++ b/crates/lab/tests/assignment_checker.rs
@@ -594,6 +594,23 @@
     }
 }
 
+/// Taken away and given back between two looks at the owners: whoever joins is appended, so the order is the witness.
+#[test]
+fn an_owner_that_went_and_came_back_between_two_looks_is_seen_by_its_place() {
+    for (owners, breach) in [(vec![0, 1], vec![Breach::LostShard]), (vec![1, 0], vec![])] {
+        let mut case = Case::new();
+        let (shard, ..) = pair(0);
+        case.owners(400.0);
+        let mut lines = case.due(0);
+        lines.retain(|destination, _| shard_of(*destination, SHARDS) != shard);
+        case.part(500.0, 0, lines);
+        case.owners.insert(shard, owners);
+        case.owners(600.0);
+        let verdict = case.end(1000.0);
+        assert_eq!(breaches(&verdict), breach, "{:#?}", verdict.accusations);
+    }
+}
+
 /// The older of two controllers took a shard away; it was asked only after another look at the newer one.
 #[test]
 fn the_controller_that_a_part_follows_is_the_witness() {
