Lab: a verdict says how long senders could be reached and were cut off

Need: a run in which nobody can be reached would be in time by default.

Change: reachable_share and cut_off_share in the verdict and in the line of a run.

--- a/crates/cli/src/assignment.rs
+++ b/crates/cli/src/assignment.rs
@@ -196,7 +196,7 @@
     println!(
         "seed {}: {} in {:.1} s: {} eras, {} changes ({} undone, {} unanswered), in force after {} (median/p99/most), \
          shards gained {}, let go {}, settled after {}; {} parts seen ({} of one position), {} pages, {} daemons' \
-         lists, {} calls",
+         lists, {} calls; senders could be reached {:.0}% of the time, were cut off {:.0}%",
         outcome.seed,
         if verdict.is_sound() { "sound" } else { "ACCUSED" },
         outcome.took_s,
@@ -213,6 +213,8 @@
         verdict.pages,
         verdict.daemon_sizes,
         verdict.daemon_calls,
+        verdict.reachable_share * 100.0,
+        verdict.cut_off_share * 100.0,
     );
     for (at, fault) in outcome.faults.iter().enumerate() {
         println!("    {at}: {fault}");
--- a/crates/lab/src/assignment/checker.rs
+++ b/crates/lab/src/assignment/checker.rs
@@ -126,6 +126,9 @@
     pub daemon_sizes: usize,
     pub daemon_calls: usize,
     pub eras: usize,
+    /// Of all senders' time, the part in which they could be reached, and in which they had no line to anybody.
+    pub reachable_share: f64,
+    pub cut_off_share: f64,
     /// Shards that came or went by the word of a controller that doesn't count, whom nobody had asked at that moment.
     pub unwitnessed: usize,
 }
@@ -242,6 +245,13 @@
         };
         checker.lineages = checker.lineages();
         checker.reach = checker.reach();
+        let all = history.ended_ms * f64::from(history.senders);
+        let share = |of: fn(&Reach) -> &Vec<(f64, f64)>| {
+            let spans = checker.reach.iter().flat_map(of);
+            spans.map(|(from, until)| until - from).sum::<f64>() / all.max(1.0)
+        };
+        let (reachable, cut_off) = (share(|reach| &reach.reachable), share(|reach| &reach.apart));
+        (checker.verdict.reachable_share, checker.verdict.cut_off_share) = (reachable, cut_off);
         checker
     }
 
--- a/crates/lab/tests/assignment_checker.rs
+++ b/crates/lab/tests/assignment_checker.rs
@@ -151,6 +151,7 @@
     sound(&verdict);
     assert_eq!((verdict.changes, verdict.undone, verdict.unanswered), (7, 0, 0));
     assert_eq!(verdict.in_force_ms.most, 400.0);
+    assert!(verdict.reachable_share > 0.99 && verdict.cut_off_share == 0.0, "{}", verdict.reachable_share);
     assert_eq!(verdict.parts, verdict.parts_of_one_position);
 }
 
@@ -320,6 +321,7 @@
         } else {
             assert!(verdict.is_sound(), "case {number}: {:#?}", verdict.accusations);
             assert_eq!(verdict.in_force_ms.most, 6100.0, "case {number}");
+            assert!(verdict.reachable_share < 0.95, "case {number}: {}", verdict.reachable_share);
         }
     }
 }
