Lab: what a cut line held back may come once it is mended

Change: a mended line ends a span of being cut off, and another begins with it. A change later than what may be under way and held is accused as before.

--- a/crates/lab/src/assignment/checker.rs
+++ b/crates/lab/src/assignment/checker.rs
@@ -324,6 +324,8 @@
         times.dedup();
         let mut all: Vec<Reach> = (0..history.senders).map(|_| Reach::default()).collect();
         let mut turns = history.turns.iter().peekable();
+        // What a cut held back goes on when it is over, also from one that has ended since.
+        let mut opened: BTreeSet<Process> = BTreeSet::new();
         for (at, now) in times.iter().enumerate() {
             while let Some((when, turn)) = turns.next_if(|(when, _)| when <= now) {
                 match turn {
@@ -336,7 +338,10 @@
                         };
                         states.insert(*process, (*state, since));
                     }
-                    Turn::Line { from, to, open: true } => _ = cut.remove(&(*from, *to)),
+                    Turn::Line { from, to, open: true } => {
+                        cut.remove(&(*from, *to));
+                        opened.extend([*from, *to]);
+                    }
                     Turn::Line { from, to, open: false } => _ = cut.insert((*from, *to)),
                     Turn::Healed => {}
                 }
@@ -361,17 +366,18 @@
                         let controller = Process::Control(era.control);
                         relays.iter().any(|relay| *relay == controller || open(*relay, controller))
                     });
-                let note = |spans: &mut Vec<(f64, f64)>| match spans.last_mut() {
-                    Some((_, end)) if *end == *now => *end = until,
+                let note = |spans: &mut Vec<(f64, f64)>, anew: bool| match spans.last_mut() {
+                    Some((_, end)) if *end == *now && !anew => *end = until,
                     _ => spans.push((*now, until)),
                 };
                 if reachable {
-                    note(&mut reach.reachable);
+                    note(&mut reach.reachable, false);
                 }
                 if relays.is_empty() {
-                    note(&mut reach.apart);
+                    note(&mut reach.apart, opened.contains(&agent));
                 }
             }
+            opened.clear();
         }
         all
     }
--- a/crates/lab/tests/assignment_checker.rs
+++ b/crates/lab/tests/assignment_checker.rs
@@ -457,6 +457,29 @@
     }
 }
 
+/// A line that was cut gives on what it held when the cut is over, though whoever said it has ended meanwhile; later, nothing.
+#[test]
+fn what_a_line_held_back_may_come_from_one_that_has_ended() {
+    for (changed_ms, breach) in [(9100.0, vec![]), (14_000.0, vec![Breach::ChangedCutOff])] {
+        let mut case = Case::new();
+        let (_, one, _) = pair(0);
+        let (agent, controls) = (Process::Agent(0), [0, 1, 2].map(Process::Control));
+        let line = |to, open| Turn::Line { from: agent, to, open };
+        controls.into_iter().for_each(|control| case.turn(1000.0, line(control, false)));
+        let (before, was) = (case.due(0), case.revision);
+        case.put(5000.0, one);
+        let due = case.due(1);
+        case.part(5100.0, 1, due);
+        controls.into_iter().for_each(|control| case.turn(8000.0, Turn::Process(control, State::Down)));
+        controls.into_iter().for_each(|control| case.turn(9000.0, line(control, true)));
+        case.part(5100.0, 0, before).position = Some(at(1, was));
+        case.history.parts.last_mut().expect("pushed").until_ms = changed_ms - 60.0;
+        case.look(changed_ms);
+        let verdict = case.end(15_000.0);
+        assert_eq!(breaches(&verdict), breach, "{:#?}", verdict.accusations);
+    }
+}
+
 /// The second controller went on from before a change of the first: who has it goes back, and ends at the history that counts.
 #[test]
 fn a_history_that_parted_may_be_taken_back() {
