--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,8 @@
 //! that the two stages, [`simulated`] and [`sockets`], play the very same world: the first drives hundreds of
 //! instances of the decisions in simulated time, the second real daemons on loopback addresses.
 //!
+//! [`assignment`] plays the control plane of assignment in real processes under faults, with a checker of its own.
+//!
 //! The lab guards against gains read out of noise ([`compare`]) and against trusting a sender's own counters. What a
 //! gateway is like belongs to `indigomast-gateway`, what the program prints to `indigomast-cli`.
 
