--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -334,6 +334,7 @@
 
     fn step(&mut self, event: subscriber::Event) {
         let mut in_force = false;
+        let refused = self.subscriber.refusals.all();
         for action in self.subscriber.step(moment(self.began), event) {
             match action {
                 subscriber::Action::Connect(to) => match self.relays.get(to as usize) {
@@ -346,6 +347,11 @@
                 subscriber::Action::Save => self.unsaved = true,
             }
         }
+        if self.subscriber.refusals.all() > refused
+            && let Some(fault) = &self.subscriber.refusals.last
+        {
+            log::warn!("a line of the relay was refused: {fault}");
+        }
         self.unsaved |= in_force;
         if self.again.is_none_or(|at| at <= Instant::now()) {
             self.save();
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -544,7 +544,12 @@
 
     fn step_relay(&mut self, event: relay::Event) {
         let now = self.now();
-        for action in self.relay.step(now, event) {
+        let before = [self.relay.refusals.all(), self.relay.publisher().refusals.all()];
+        let actions = self.relay.step(now, event);
+        let (own, below) = (&self.relay.refusals, &self.relay.publisher().refusals);
+        note("the controller", own, before[0]);
+        note("an agent", below, before[1]);
+        for action in actions {
             match action {
                 relay::Action::Connect(to) => match self.config.controls.get(to as usize) {
                     Some(address) => self.dialer.connect(*address),
@@ -561,7 +566,9 @@
     fn step_controller(&mut self, event: controller::Event) {
         let now = self.now();
         let Some(controller) = &mut self.controller else { return };
+        let before = controller.publisher().refusals.all();
         let actions = controller.step(now, event);
+        note("a relay", &controller.publisher().refusals, before);
         for action in actions {
             match action {
                 controller::Action::Below(action) => self.below(action),
@@ -859,6 +866,15 @@
     }
 }
 
+/// Says why a line was refused, if one was.
+fn note(whose: &str, refusals: &Refusals, before: u64) {
+    if refusals.all() > before
+        && let Some(fault) = &refusals.last
+    {
+        log::warn!("a line of {whose} was refused: {fault}");
+    }
+}
+
 fn shown(position: Position) -> (u32, u64) {
     (position.epoch, position.revision)
 }
