--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -365,7 +365,9 @@
             hello.credit = self.down.level(now) as u32;
             line = seal_hello(&self.secret, &hello);
         }
-        let when = self.up.when(now, (line.len() + 1) as f64);
+        let when = self.up.when(now, needed);
+        // After a snapshot neither is there; what it may be sent comes back sooner.
+        let when = when.min(self.down.when(now, lacking.max(0.0) + LEAST_CREDIT));
         if !self.say(now, line, out) {
             self.link.failed(now);
             self.link.postpone(when);
--- a/crates/assignment/tests/reconnected.rs
+++ b/crates/assignment/tests/reconnected.rs
@@ -187,11 +187,11 @@
     assert_eq!(said, joining);
 }
 
-#[test]
-fn a_sender_whose_connections_end_one_after_the_other_says_hello_all_the_same() {
-    const MANY: u32 = 128;
+/// A sender of so many shards is told its part on these of its connections, and loses each of ten with its first frame; the
+/// first after a rest. When it said each hello, of how many bytes, and the bytes of both ways.
+fn hellos(many: u32, told: &[usize], rest: Span) -> (Vec<(Moment, usize, Hello)>, usize) {
     let who = Who::Sender(4);
-    let mut subscriber = Subscriber::new(4, MANY, vec![0, 1], budget::SENDER, secret(), 1, at(0.0));
+    let mut subscriber = Subscriber::new(4, many, vec![0, 1], budget::SENDER, secret(), 1, at(0.0));
     let here = Position { epoch: 1, revision: 9 };
     let mut now = at(0.0);
     let mut hellos: Vec<(Moment, usize, Hello)> = Vec::new();
@@ -202,15 +202,11 @@
             continue;
         }
         let said = subscriber.step(now, subscriber::Event::Connected);
-        let [subscriber::Action::Say(line), ..] = &said[..] else {
-            panic!("no hello after {} at {now:?}: {said:?}", hellos.len());
-        };
+        let [subscriber::Action::Say(line), ..] = &said[..] else { continue };
         let hello = open_hello(&secret(), line).expect("good");
-        assert!(hello.credit >= 512, "a relay could not answer");
-        // The first time it is told of a part with many shards; then each connection ends with its first frame.
-        let records = if hellos.is_empty() {
+        let records = if told.contains(&hellos.len()) {
             let owners = indigomast_assignment::catalog::Owners::new(&[4, 5], None);
-            let shards = (0..MANY).map(|shard| Record::Shard(shard, 5, 1, owners));
+            let shards = (0..many).map(|shard| Record::Shard(shard, 5, 1, owners));
             let begin = Record::Begin { base: here, whole: true, resumed: false, eras: Vec::new() };
             std::iter::once(begin).chain(shards).chain([Record::End]).collect()
         } else {
@@ -222,16 +218,32 @@
         subscriber.step(now, subscriber::Event::Line(&frame));
         subscriber.step(now, subscriber::Event::Lost);
         if hellos.len() == 1 {
-            // What it was told at first has been paid for by now.
-            now = at(4000.0);
+            now += rest;
         }
     }
+    (hellos, (subscriber.received + subscriber.sent) as usize)
+}
+
+#[test]
+fn a_sender_whose_connections_end_one_after_the_other_says_hello_all_the_same() {
+    // What it was told at first has been paid for after 4 s.
+    let (hellos, both_ways) = hellos(128, &[0], Span::millis(4000));
+    let now = hellos[9].0;
     assert!(now < at(9000.0), "{now:?}: ten connections took too long");
     let bytes: usize = hellos.iter().map(|(_, bytes, _)| bytes).sum();
     let up = budget::SENDER_UP_BURST + now.since(at(0.0)).as_secs() * budget::SENDER_UP_RATE;
     assert!(bytes as f64 > up, "{bytes} of {up}: the test is too easy");
-    assert!((subscriber.received + subscriber.sent) as usize <= SENDER_MOST_IN_10_S);
-    // What it has said beyond its own is taken off what it may be sent.
-    let borrowed = hellos.windows(2).any(|pair| pair[1].2.credit < pair[0].2.credit);
-    assert!(borrowed, "{:?}", hellos.iter().map(|(_, _, hello)| hello.credit).collect::<Vec<_>>());
+    assert!(both_ways <= SENDER_MOST_IN_10_S);
+    // What it has said beyond its own is taken off what it may be sent, and a relay can answer still.
+    let credits: Vec<u32> = hellos.iter().map(|(_, _, hello)| hello.credit).collect();
+    assert!(credits[1..].iter().all(|credit| *credit >= 512), "{credits:?}");
+    assert!(credits.windows(2).any(|pair| pair[1] < pair[0]), "{credits:?}");
+}
+
+#[test]
+fn also_right_after_a_snapshot_a_sender_waits_no_longer_than_its_downward_rate_asks() {
+    // By the fourth connection its upward bytes are spent, and a snapshot on it takes what it may be sent.
+    let (hellos, _) = hellos(120, &[0, 3], Span::millis(4000));
+    let gaps: Vec<f64> = hellos.windows(2).map(|pair| pair[1].0.since(pair[0].0).as_secs()).collect();
+    assert!(gaps[1..].iter().all(|gap| *gap < 3.0), "{gaps:?}");
 }
--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -66,6 +66,8 @@
     destinations: BTreeMap<u32, (u64, Arc<str>)>,
     common: Option<(u64, Arc<str>)>,
     position: Option<Position>,
+    /// It is what the controller said at that position.
+    settled: bool,
     shards: usize,
 }
 
@@ -373,8 +375,8 @@
         Capture {
             destinations: destinations.collect(),
             common: part.common.clone(),
-            // Between two positions it has all up to the one before.
-            position: part.position.filter(|_| self.subscriber.is_settled()),
+            position: part.position,
+            settled: self.subscriber.is_settled(),
             shards: part.shards.len(),
         }
     }
@@ -384,7 +386,9 @@
         let board = Arc::clone(&self.board);
         let mut shown = board.shown();
         (shown.destinations, shown.common) = (capture.destinations, capture.common);
-        (shown.position, shown.shards) = (capture.position.or(shown.position), capture.shards);
+        // Between two positions it has all up to the one before; after an earlier controller up to where that counted.
+        let position = if capture.settled { capture.position } else { capture.position.min(shown.position) };
+        (shown.position, shown.shards) = (position, capture.shards);
         // Before a first shard was its own there is no list: a daemon would take one with nobody in it for its word.
         if shown.listing.is_ready() || capture.shards > 0 {
             self.list(&mut shown);
@@ -417,6 +421,11 @@
         if self.saving.is_some() || !self.unsaved {
             return;
         }
+        if !self.subscriber.is_settled() && !self.subscriber.is_connected() {
+            // Cut off it would stay between two positions for as long as that lasts: the next connection settles it.
+            self.unsettled = None;
+            return;
+        }
         if !self.subscriber.is_settled()
             && self.unsettled.get_or_insert_with(Instant::now).elapsed() < self.board.limits.settle
         {
--- a/crates/control-plane/tests/carrier/settled.rs
+++ b/crates/control-plane/tests/carrier/settled.rs
@@ -1,8 +1,8 @@
 //! What is shown is what the controller said at one position, as far as that doesn't take too long.
 
-use crate::support::{Fleet, SHARDS, frame, member, secret, taken};
+use crate::support::{Fleet, Hand, SHARDS, frame, member, secret, taken};
 use indigomast_assignment::catalog::{Owners, Position, shard_of};
-use indigomast_assignment::wire::{Record, Who, seal_frame};
+use indigomast_assignment::wire::{Hello, Reason, Record, Who, seal_frame};
 use indigomast_control_plane::limits::Limits;
 use serde_json::json;
 use std::net::TcpListener;
@@ -14,22 +14,39 @@
     Position { epoch: 1, revision }
 }
 
+/// What is said on its one connection, which can be ended and taken anew.
+struct Relay {
+    listener: TcpListener,
+    hand: Hand,
+    challenge: u64,
+    number: u64,
+}
+
+impl Relay {
+    fn say(&mut self, now: Position, through: Position, records: Vec<Record>) {
+        self.number += 1;
+        let frame = frame(self.number, now, Some(through), records);
+        self.hand.line(&seal_frame(&secret(), WHO, self.challenge, &frame));
+    }
+
+    /// The connection ends; the next one's first line.
+    fn again(&mut self) -> Hello {
+        self.hand.shut();
+        let (hand, hello) = taken(&self.listener);
+        (self.hand, self.challenge, self.number) = (hand, hello.challenge, 0);
+        hello
+    }
+}
+
 /// An agent of a relay that isn't one, with destinations 17 and 18 as of revision 10.
-fn told(settle: Duration) -> (Fleet, impl FnMut(u64, u64, Vec<Record>)) {
+fn told(settle: Duration) -> (Fleet, Relay) {
     let mut fleet = Fleet::new(0);
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     fleet.addresses.push(listener.local_addr().expect("bound"));
     fleet.limits = Limits { settle, ..Limits::default() };
     fleet.start_agent(4, &[0]);
-    let (mut hand, hello) = taken(&listener);
-    let mut number = 0;
-    let mut say = move |now: u64, through: u64, records: Vec<Record>| {
-        // Held as long as anything is said on it.
-        let _listener = &listener;
-        number += 1;
-        let frame = frame(number, at(now), Some(at(through)), records);
-        hand.line(&seal_frame(&secret(), WHO, hello.challenge, &frame));
-    };
+    let (hand, hello) = taken(&listener);
+    let mut relay = Relay { listener, hand, challenge: hello.challenge, number: 0 };
     let mut records = vec![Record::Begin { base: at(10), whole: true, resumed: false, eras: Vec::new() }];
     let mut both = [17, 18];
     both.sort_by_key(|destination| shard_of(*destination, SHARDS));
@@ -38,9 +55,9 @@
         records.push(Record::Put(destination, 5, 1, member(destination, &format!("e{destination}")).into()));
     }
     records.push(Record::End);
-    say(10, 10, records);
+    relay.say(at(10), at(10), records);
     fleet.agent_until(4, "its part", |shown| shown["position"] == json!([1, 10]));
-    (fleet, say)
+    (fleet, relay)
 }
 
 fn put(destination: u32, revision: u64) -> Record {
@@ -49,12 +66,12 @@
 
 #[test]
 fn a_part_between_two_positions_is_not_shown_before_it_is_of_one() {
-    let (fleet, mut say) = told(Duration::from_secs(600));
+    let (fleet, mut relay) = told(Duration::from_secs(600));
     // 18 changed first, and comes later.
-    say(12, 10, vec![put(17, 12)]);
-    say(12, 10, Vec::new());
+    relay.say(at(12), at(10), vec![put(17, 12)]);
+    relay.say(at(12), at(10), Vec::new());
     let page = fleet.page(4);
-    say(12, 12, vec![put(18, 11)]);
+    relay.say(at(12), at(12), vec![put(18, 11)]);
     let shown = fleet.agent_until(4, "both", |shown| {
         let revision = |destination: &str| shown["destinations"][destination]["revision"].clone();
         // Never the one without the other.
@@ -68,10 +85,54 @@
 
 #[test]
 fn one_that_does_not_settle_is_shown_after_a_while_at_the_position_before() {
-    let (fleet, mut say) = told(Duration::from_millis(50));
-    say(12, 11, vec![put(17, 12)]);
+    let (fleet, mut relay) = told(Duration::from_millis(50));
+    relay.say(at(12), at(11), vec![put(17, 12)]);
     let shown = fleet.agent_until(4, "the first", |shown| shown["destinations"]["17"]["revision"] == 12);
     assert_eq!(shown["position"], json!([1, 10]), "it has all up to there, and no more is claimed");
-    say(12, 12, vec![put(18, 11)]);
+    relay.say(at(12), at(12), vec![put(18, 11)]);
     fleet.agent_until(4, "both", |shown| shown["position"] == json!([1, 12]));
 }
+
+#[test]
+fn one_that_does_not_settle_after_an_earlier_controller_is_shown_at_what_both_have() {
+    let (fleet, mut relay) = told(Duration::from_millis(50));
+    relay.say(at(12), at(12), vec![put(17, 12)]);
+    fleet.agent_until(4, "the earlier one's", |shown| shown["position"] == json!([1, 12]));
+    // The controller of epoch 2 began from revision 10 of the first.
+    let later = |revision: u64| Position { epoch: 2, revision };
+    relay.say(later(14), at(10), vec![Record::Refused(Reason::Parted(at(10)))]);
+    let hello = relay.again();
+    assert_eq!((hello.position, hello.suspects.len()), (Some(at(10)), 1));
+    relay.say(later(14), at(10), vec![put(18, 13)]);
+    let shown = fleet.agent_until(4, "the first", |shown| shown["destinations"]["18"]["revision"] == 13);
+    assert_eq!(shown["position"], json!([1, 10]), "what both histories have");
+    let shard = shard_of(17, SHARDS);
+    let records = vec![
+        Record::Begin { base: later(14), whole: false, resumed: false, eras: Vec::new() },
+        Record::Shard(shard, 4, 1, Owners::new(&[4, 5], None)),
+        Record::Put(17, 5, 1, member(17, "e17").into()),
+        Record::End,
+    ];
+    relay.say(later(14), later(14), records);
+    let shown = fleet.agent_until(4, "all", |shown| shown["position"] == json!([2, 14]));
+    assert_eq!(shown["destinations"]["17"]["revision"], 5, "undone");
+}
+
+#[test]
+fn what_has_not_settled_when_its_connection_ends_is_not_shown_while_cut_off() {
+    let (fleet, mut relay) = told(Duration::from_millis(200));
+    let before = fleet.page(4);
+    relay.say(at(12), at(11), vec![put(17, 12)]);
+    // It has been taken in before the connection is seen to end: both come on it in this order.
+    let hello = relay.again();
+    assert_eq!(hello.position, Some(at(11)));
+    let shown = fleet.agent_until(4, "as it was", |_| true);
+    assert_eq!(
+        (shown["position"].clone(), shown["destinations"]["17"]["revision"].as_u64()),
+        (json!([1, 10]), Some(5))
+    );
+    assert_eq!(fleet.page(4), before);
+    relay.say(at(12), at(12), vec![put(18, 11)]);
+    let shown = fleet.agent_until(4, "both", |shown| shown["position"] == json!([1, 12]));
+    assert_eq!(shown["destinations"]["17"]["revision"], 12);
+}
--- a/crates/control-plane/tests/carrier/support.rs
+++ b/crates/control-plane/tests/carrier/support.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -265,6 +265,10 @@
         }
     }
 
+    pub fn shut(&self) {
+        _ = self.stream.shutdown(Shutdown::Both);
+    }
+
     pub fn ended(&mut self) {
         while self.next().is_some() {}
     }
