Few descriptors: the test waits for a state that stays, not for the first milliseconds

Cause: the wait was for 40 open descriptors in all, 24 fewer than there are. By /proc a settled sender of 64 holds 11 of its own, one to discovery, 24 clients and one at the accept queue: 37, 38 or 39 with two more in hand. It held more only while the first idle clients made room for others, in the first 16 ms. Whoever looked first later, on a busy machine, waited for ever. A shell that hands down two descriptors hides that: it counted 39 to 41. The sender lets in all it should; its budget, threads and backlog were ruled out. Beside that the crowd saw no end behind an unread answer, so two thirds of it never came again, and a discovery that was back before the texts were over had old questions answered. Change: the wait is for every place that the limits have (24, three eighths at least) to be held by a client that rests and that no other can push out. The crowd reads its answers and comes again. Discovery is back once the texts are over and all places are full again. No bound was eased; nothing counts descriptors any more, which whoever starts the test could add to.

--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -299,11 +299,6 @@
         prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit).expect("it is our child");
     }
 
-    /// How many descriptors it has open.
-    pub fn descriptors(&self) -> usize {
-        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
-    }
-
     /// Stops and resumes it so many times, and what that took of processor time each.
     pub fn cost_of_stops(&self, stops: u32) -> Duration {
         let pid = Pid::from_child(&self.child);
--- a/crates/sender/tests/sender/few_descriptors.rs
+++ b/crates/sender/tests/sender/few_descriptors.rs
@@ -1,40 +1,82 @@
 //! Clients that connect and rest fill the descriptors while discovery is down: all else goes on, and discovery is found again.
 
 use crate::common::*;
+use indigomast_sender::limits::{Grant, Limits};
 use serde_json::json;
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// A client that sends no text, and whether it has its answer.
+struct Idle {
+    client: Client,
+    answered: bool,
+}
+
+impl Idle {
+    fn come(address: SocketAddr, said: &str) -> Option<Idle> {
+        let client = Client::try_at(address)?;
+        client.stream.set_nonblocking(true).ok()?;
+        (&client.stream).write_all(said.as_bytes()).ok()?;
+        Some(Idle { client, answered: false })
+    }
+
+    /// Reads what has come; whether the connection is still open. What lies unread would hide its end.
+    fn stays(&mut self) -> bool {
+        let mut bytes = [0; 256];
+        loop {
+            match (&self.client.stream).read(&mut bytes) {
+                Ok(0) => return false,
+                Ok(count) => self.answered |= bytes[..count].starts_with(b"HTTP/1.1 200 "),
+                Err(e) => return e.kind() == ErrorKind::WouldBlock,
+            }
+        }
+    }
+}
+
 /// Far more than the sender has room for, all there all the time: whoever is ended comes again at once. A third each has
 /// asked nothing, has asked and rests, and has begun a request.
-fn idle_crowd(daemon: &Daemon, over: &Arc<AtomicBool>) -> thread::JoinHandle<()> {
-    let (address, over) = (daemon.address, Arc::clone(over));
-    thread::spawn(move || {
-        let mut crowd: Vec<Option<Client>> = (0..120).map(|_| None).collect();
-        while !over.load(Ordering::Relaxed) {
-            for (number, place) in crowd.iter_mut().enumerate() {
-                let ended = place.as_mut().is_none_or(|client| {
-                    client.stream.set_nonblocking(true).expect("a socket");
-                    let mut byte = [0; 64];
-                    matches!(client.stream.peek(&mut byte), Ok(0))
-                        || client
-                            .stream
-                            .peek(&mut byte)
-                            .is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock)
-                });
-                if ended {
-                    *place = Client::try_at(address).filter(|client| {
+struct Crowd {
+    over: Arc<AtomicBool>,
+    resting: Arc<AtomicUsize>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Crowd {
+    const SIZE: usize = 120;
+
+    fn gathers(address: SocketAddr) -> Crowd {
+        let (over, resting) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default());
+        let (ends, rest) = (Arc::clone(&over), Arc::clone(&resting));
+        let thread = thread::spawn(move || {
+            let mut crowd: Vec<Option<Idle>> = (0..Crowd::SIZE).map(|_| None).collect();
+            while !ends.load(Ordering::Relaxed) {
+                for (number, place) in crowd.iter_mut().enumerate() {
+                    if !place.as_mut().is_some_and(Idle::stays) {
                         let said = ["", "GET /up HTTP/1.1\r\n\r\n", "GET /up HT"][number % 3];
-                        (&client.stream).write_all(said.as_bytes()).is_ok()
-                    });
+                        *place = Idle::come(address, said);
+                    }
                 }
+                let answered = crowd.iter().flatten().filter(|idle| idle.answered).count();
+                rest.store(answered, Ordering::Relaxed);
+                thread::sleep(Duration::from_millis(2));
             }
-            thread::sleep(Duration::from_millis(2));
-        }
-    })
+        });
+        Crowd { over, resting, thread }
+    }
+
+    /// How many have their answer and are still there: each holds a place that no other of the crowd can get.
+    fn resting(&self) -> usize {
+        self.resting.load(Ordering::Relaxed)
+    }
+
+    fn leaves(self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.thread.join().expect("no fault");
+    }
 }
 
 /// Hands in a text, coming again as clients do who are sent away.
@@ -54,9 +96,9 @@
 }
 
 /// The whole of a discovery's work until it is back: it accepts connections and ends them.
-fn down(discovery: &Host, until: Instant) {
-    while let Some(left) = until.checked_duration_since(Instant::now()) {
-        if let Some(visit) = discovery.next_within(left) {
+fn down(discovery: &Host, is_back: impl Fn() -> bool) {
+    while !is_back() {
+        if let Some(visit) = discovery.next_within(Duration::from_millis(5)) {
             visit.hang_up();
         }
     }
@@ -68,16 +110,20 @@
     config["limits"]["sockets"] = json!(granted);
     let folder = Folder::new();
     let mut daemon = Daemon::with_descriptors(&config, &folder, there_are);
-    let over = Arc::<AtomicBool>::default();
-    let crowd = idle_crowd(&daemon, &over);
-    // What the sender keeps for itself is not for clients.
+    // The descriptors are full of idle clients when each place for one is held by a client that rests: none of these has to
+    // go for a client that doesn't hand in a text, so it stays like this, with others waiting and coming again all the time.
+    // Descriptors aren't counted: how many the process has beside depends on what it was handed down by whoever started it.
+    let limits = Limits::of(Grant::new(192, granted.min(there_are), 3.0));
+    assert!(limits.clients * 8 >= there_are * 3, "{} places of {there_are} descriptors", limits.clients);
+    assert!(Crowd::SIZE / 3 > limits.clients + limits.accept_queue, "a crowd large enough");
+    let crowd = Crowd::gathers(daemon.address);
     let by = Instant::now() + PATIENCE;
-    while daemon.descriptors() + 24 < there_are {
-        assert!(Instant::now() < by, "{} descriptors", daemon.descriptors());
+    while crowd.resting() != limits.clients {
+        assert!(Instant::now() < by, "{} of {} places are taken", crowd.resting(), limits.clients);
         thread::sleep(Duration::from_millis(5));
     }
     // While discovery is down texts are taken on, written and delivered, also when the journal begins new files.
-    let back = Instant::now() + Duration::from_secs(4);
+    let least = Instant::now() + Duration::from_secs(4);
     let calls = thread::spawn(move || {
         let (mut delivered, mut doubtful) = (0, 0);
         while delivered < 60 || doubtful < 1 {
@@ -95,8 +141,16 @@
         }
         endpoint
     });
+    // It comes back when that is over, however long that took, and the idle clients have all places again.
     thread::scope(|scope| {
-        scope.spawn(|| down(&discovery, back));
+        scope.spawn(|| {
+            down(&discovery, || calls.is_finished() && Instant::now() >= least);
+            let by = Instant::now() + PATIENCE;
+            down(&discovery, || {
+                assert!(Instant::now() < by, "{} of {} places are taken", crowd.resting(), limits.clients);
+                crowd.resting() == limits.clients
+            });
+        });
         taken(&daemon, "once", "doubt", b"x");
         (0..60).for_each(|n| taken(&daemon, "free", &format!("t{n}"), &[b'x'; 20_000]));
     });
@@ -124,8 +178,7 @@
     assert_eq!(visit.header("x-request-id"), "later");
     // What is owed outlasts the process, crowd or not.
     daemon.kill();
-    over.store(true, Ordering::Relaxed);
-    crowd.join().expect("no fault");
+    crowd.leaves();
     drop(visit);
     let daemon = Daemon::start(&config, &folder);
     daemon.counts("resumed", 1);
