--- a/crates/assignment/src/lib.rs
+++ b/crates/assignment/src/lib.rs
@@ -11,7 +11,7 @@
 //! controller serves relays and a relay serves senders, within the bytes a second that each may be sent ([`budget`]);
 //! [`link`] is the other end of that. [`wire`] says how lines look and how each side knows that the other said them.
 //! [`rehearsal`] plays all of it in simulated time under faults, [`panel`] all
-//! the hard cases at any size.
+//! the hard cases at any size, [`day`] a whole day of restarts.
 //!
 //! It guards against two controllers that both assign, a change that is lost or overtaken by an older one, a burst that
 //! queues for ever, and a fleet that moves all at once. Sockets, files and clocks are left to a carrier; so is knowing who
@@ -39,6 +39,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod controller;
+pub mod day;
 pub mod link;
 pub mod panel;
 pub mod placement;
--- a/crates/assignment/src/panel.rs
+++ b/crates/assignment/src/panel.rs
@@ -61,19 +61,73 @@
     pub broken: Vec<String>,
 }
 
-fn secs(seconds: f64) -> Span {
+pub(crate) fn secs(seconds: f64) -> Span {
     Span::from_millis(seconds * 1000.0)
 }
 
-struct Panel<'a> {
+pub(crate) struct Panel<'a> {
     world: World,
-    report: Report,
+    pub(crate) report: Report,
     say: &'a mut dyn FnMut(&Account),
 }
 
-impl Panel<'_> {
+impl<'a> Panel<'a> {
+    /// A world whose relays have everything and whose senders have not begun.
+    pub(crate) fn begin(plan: Plan, memory: fn() -> usize, say: &'a mut dyn FnMut(&Account)) -> Panel<'a> {
+        let clock = plan.clock.unwrap_or(|| Span::ZERO);
+        let rate = plan.pace.rate;
+        let began = clock();
+        let mut world = World::new(plan.clone());
+        let mut report = Report {
+            senders: plan.senders,
+            relays: plan.relays,
+            destinations: plan.destinations,
+            shards: plan.settings.shards,
+            seed: plan.seed,
+            first_load_controller_s: clock().as_secs() - began.as_secs(),
+            ..Report::default()
+        };
+        // One relay takes the whole catalog over its line, the others begin with its copy.
+        world.mark();
+        world.start(Node::Relay(0));
+        while !world.relay(0).is_filled() {
+            world.run(Span::millis(100));
+        }
+        report.baseline.snapshot_bytes = world.relay_bytes();
+        report.baseline.snapshot_s_at_a_senders_rate = world.relay_bytes() as f64 / rate;
+        world.copy_relays();
+        world.run(secs(5.0));
+        report.process_bytes_before_senders = memory();
+        Panel { world, report, say }
+    }
+
+    /// The first case, and what everybody holds after it.
+    pub(crate) fn all_start(&mut self, memory: fn() -> usize) {
+        self.case("all senders start at once with nothing", |world| {
+            world.start_senders();
+            world.run(secs(30.0));
+        });
+        let (world, report) = (&self.world, &mut self.report);
+        let (senders, relays) = (report.senders, report.relays);
+        let memories: Vec<usize> = (0..senders).map(|sender| world.sender(sender).memory()).collect();
+        report.sender_memory_mean = memories.iter().sum::<usize>() as f64 / f64::from(senders);
+        report.sender_memory_most = memories.into_iter().max().unwrap_or(0);
+        let counts: Vec<usize> = (0..senders).map(|sender| world.sender(sender).part().len()).collect();
+        report.sender_destinations_mean = counts.iter().sum::<usize>() as f64 / f64::from(senders);
+        report.sender_destinations_most = counts.into_iter().max().unwrap_or(0);
+        let copies: Vec<usize> = (0..relays).map(|relay| world.relay(relay).memory()).collect();
+        report.relay_memory_mean = copies.iter().sum::<usize>() as f64 / f64::from(relays);
+        report.relay_sessions_most =
+            (0..relays).map(|relay| world.relay(relay).publisher().sessions()).max().unwrap_or(0);
+        report.baseline.memory_bytes = world.relay(0).replica().memory();
+        report.controller_memory = world.controller().memory();
+        let now = memory();
+        report.process_bytes_a_sender =
+            now.saturating_sub(report.process_bytes_before_senders) as f64 / f64::from(senders);
+    }
+
     /// Plays one case; at its end all senders that run have to have what they own, exactly.
-    fn case(&mut self, name: &str, play: impl FnOnce(&mut World)) {
+    pub(crate) fn case(&mut self, name: &str, play: impl FnOnce(&mut World)) {
         self.world.mark();
         play(&mut self.world);
         self.world.run_until_in_force(secs(30.0));
@@ -131,54 +185,12 @@
 
 /// Plays all. `memory` says how many bytes the process has, if that can be known; `say` hears of each case.
 pub fn play(plan: Plan, memory: fn() -> usize, say: &mut dyn FnMut(&Account)) -> Report {
-    let clock = plan.clock.unwrap_or(|| Span::ZERO);
     let (senders, relays) = (plan.senders, plan.relays);
-    let began = clock();
-    let mut world = World::new(plan.clone());
-    let mut report = Report {
-        senders,
-        relays,
-        destinations: plan.destinations,
-        shards: plan.settings.shards,
-        seed: plan.seed,
-        first_load_controller_s: clock().as_secs() - began.as_secs(),
-        ..Report::default()
-    };
-    // One relay takes the whole catalog over its line, the others begin with its copy.
-    world.mark();
-    world.start(Node::Relay(0));
-    while !world.relay(0).is_filled() {
-        world.run(Span::millis(100));
-    }
-    report.baseline.snapshot_bytes = world.relay_bytes();
-    report.baseline.snapshot_s_at_a_senders_rate = world.relay_bytes() as f64 / plan.pace.rate;
-    world.copy_relays();
-    world.run(secs(5.0));
-    report.process_bytes_before_senders = memory();
-    let mut panel = Panel { world, report, say };
     let region = u32::from(plan.regions) - 1;
     let a_day = 2300.0 / 86_400.0 * f64::from(senders) / 16_000.0;
-
-    panel.case("all senders start at once with nothing", |world| {
-        world.start_senders();
-        world.run(secs(30.0));
-    });
-    let (world, report) = (&panel.world, &mut panel.report);
-    let memories: Vec<usize> = (0..senders).map(|sender| world.sender(sender).memory()).collect();
-    report.sender_memory_mean = memories.iter().sum::<usize>() as f64 / f64::from(senders);
-    report.sender_memory_most = memories.into_iter().max().unwrap_or(0);
-    let counts: Vec<usize> = (0..senders).map(|sender| world.sender(sender).part().len()).collect();
-    report.sender_destinations_mean = counts.iter().sum::<usize>() as f64 / f64::from(senders);
-    report.sender_destinations_most = counts.into_iter().max().unwrap_or(0);
-    let copies: Vec<usize> = (0..relays).map(|relay| world.relay(relay).memory()).collect();
-    report.relay_memory_mean = copies.iter().sum::<usize>() as f64 / f64::from(relays);
-    report.relay_sessions_most =
-        (0..relays).map(|relay| world.relay(relay).publisher().sessions()).max().unwrap_or(0);
-    report.baseline.memory_bytes = world.relay(0).replica().memory();
-    report.controller_memory = world.controller().memory();
-    let now = memory();
-    report.process_bytes_a_sender =
-        now.saturating_sub(report.process_bytes_before_senders) as f64 / f64::from(senders);
+    let zone = plan.zones - 1;
+    let mut panel = Panel::begin(plan, memory, say);
+    panel.all_start(memory);
 
     panel.case("nothing happens", |world| world.run(secs(30.0)));
     let idle = panel.world.worked;
@@ -265,7 +277,6 @@
     let rack = panel.world.senders_of_rack(1);
     panel.gone_and_back("one sender", &[7 % senders], &[]);
     panel.gone_and_back("a rack", &rack, &[]);
-    let zone = plan.zones - 1;
     let in_zone = panel.world.senders_of_zone(zone);
     let place = |relay: &u32| panel.world.place(Node::Relay(*relay)).zone == zone;
     let relays_in_zone: Vec<u32> = (0..relays).filter(place).collect();
--- a/crates/assignment/src/placement.rs
+++ b/crates/assignment/src/placement.rs
@@ -88,11 +88,23 @@
     /// Shards without any owner that is there, shards that lack one, and moves to better ones.
     orphans: VecDeque<u32>,
     lacking: VecDeque<u32>,
-    better: VecDeque<(u32, u32, u32)>,
+    better: VecDeque<Better>,
     /// Moves whose new owner hasn't taken up yet.
     joining: BTreeMap<u32, Moment>,
     /// Shards given to someone beyond the bound, since nobody was within.
     pub beyond_bound: u64,
+    /// Moves that were made as a sender's load had come over the bound, not as somebody came or went.
+    pub shed: u64,
+}
+
+/// A move that can wait its turn.
+#[derive(Clone, Copy, Debug)]
+struct Better {
+    shard: u32,
+    old: u32,
+    new: u32,
+    /// The old owner's load is over the bound.
+    sheds: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -127,6 +139,7 @@
             better: VecDeque::new(),
             joining: BTreeMap::new(),
             beyond_bound: 0,
+            shed: 0,
         }
     }
 
@@ -384,7 +397,7 @@
                 let best = came.iter().copied().max_by_key(|sender| score(shard, *sender));
                 match (owners.list().iter().find(in_zone), best) {
                     (Some(old), Some(new)) if score(shard, new) > score(shard, *old) => {
-                        self.better.push_back((shard, *old, new));
+                        self.better.push_back(Better { shard, old: *old, new, sheds: false });
                     }
                     (None, Some(_)) => {
                         // Its owner is in a zone that was second best while this one was gone.
@@ -392,7 +405,7 @@
                             self.members.get(owner).is_none_or(|m| !wanted.contains(&m.place.zone))
                         });
                         if let (Some(old), Some(new)) = (stray, self.best(shard, *zone, [u64::MAX; 2], &[])) {
-                            self.better.push_back((shard, *old, new));
+                            self.better.push_back(Better { shard, old: *old, new, sheds: false });
                         }
                     }
                     _ => {}
@@ -429,7 +442,7 @@
         }
         self.shed();
         while moves > 0
-            && let Some((shard, old, new)) = self.better.pop_front()
+            && let Some(Better { shard, old, new, sheds }) = self.better.pop_front()
         {
             let owners = self.current[shard as usize];
             let stands = owners.has(old) && !owners.has(new) && owners.leaving().is_none();
@@ -441,6 +454,7 @@
                 self.joining.insert(shard, now);
                 self.assign(shard, Owners::new(&list, Some(old)), &mut changed);
                 moves -= 1;
+                self.shed += u64::from(sheds);
             } else if stands {
                 // Others got there first: if it is for its load that this one moves, another place is looked for.
                 self.grown.insert(old);
@@ -481,7 +495,7 @@
                 let new = near.or_else(|| self.within_bound(shard, &rest).filter(|new| *new != sender));
                 if let Some(new) = new {
                     excess = [excess[0].saturating_sub(load[0]), excess[1].saturating_sub(load[1])];
-                    moves.push((shard, sender, new));
+                    moves.push(Better { shard, old: sender, new, sheds: true });
                 }
             }
             self.better.extend(moves);
--- a/crates/assignment/src/rehearsal.rs
+++ b/crates/assignment/src/rehearsal.rs
@@ -192,6 +192,8 @@
     chance: Chance,
     watches: Vec<Watch>,
     waits: HashMap<u32, Vec<usize>>,
+    /// Senders that are away and will be back: changes made meanwhile are waited for at them too, from their return.
+    awaited: BTreeSet<u32>,
     /// Bytes of each sender in the last ten seconds.
     recent: Vec<(VecDeque<(Moment, usize)>, usize)>,
     bytes: u64,
@@ -240,6 +242,7 @@
             chance: Chance::new((chance.share() * 1e9) as u64),
             watches: Vec::new(),
             waits: HashMap::new(),
+            awaited: BTreeSet::new(),
             recent: vec![(VecDeque::new(), 0); plan.senders as usize],
             bytes: 0,
             relay_bytes: 0,
@@ -373,6 +376,9 @@
     /// A process begins, a relay with its copy, a sender with what it saved.
     pub fn start(&mut self, node: Node) {
         let now = self.now;
+        if let Node::Sender(number) = node {
+            self.awaited.remove(&number);
+        }
         let state = self.states.entry(node).or_default();
         let first = state.life == 0;
         *state = State { up: true, life: state.life + 1, reachable: now, ..State::default() };
@@ -453,6 +459,11 @@
         }
     }
 
+    /// A sender that is away will be back, so changes made until then count as in force only once it has them.
+    pub fn awaits(&mut self, sender: u32) {
+        self.awaited.insert(sender);
+    }
+
     /// A process does nothing for so long, its system takes bytes for it meanwhile.
     pub fn stop(&mut self, node: Node, span: Span) {
         let until = self.now + span;
@@ -535,7 +546,8 @@
             Some(destination) => replica.owners(replica.shard_of(destination)).list().to_vec(),
             None => (0..self.plan.senders).collect(),
         };
-        let owners: Vec<u32> = owners.into_iter().filter(|s| self.is_up(Node::Sender(*s))).collect();
+        let counts = |s: &u32| self.is_up(Node::Sender(*s)) || self.awaited.contains(s);
+        let owners: Vec<u32> = owners.into_iter().filter(counts).collect();
         let waiting = owners.len();
         let watch = Watch { made: self.now, revision, destination, removed, waiting, took: Span::ZERO };
         self.watches.push(watch);
--- a/crates/cli/src/assignment.rs
+++ b/crates/cli/src/assignment.rs
@@ -5,6 +5,7 @@
 use indigomast::time::Span;
 use indigomast_assignment::budget;
 use indigomast_assignment::catalog::Settings;
+use indigomast_assignment::day::{self, Day};
 use indigomast_assignment::panel::{self, Report};
 use indigomast_assignment::rehearsal::{Account, Plan};
 use std::fs;
@@ -23,6 +24,9 @@
     shards: Option<u32>,
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Instead of the hard cases: a whole simulated day of restarts, machines replaced and changes all the while
+    #[arg(long)]
+    day: bool,
     /// Write all figures to this file
     #[arg(long)]
     json: Option<PathBuf>,
@@ -97,7 +101,7 @@
     }
     for moves in &report.moves {
         println!(
-            "{} lost ({} senders): {} moves, {} the least; {:.0} s; highest load {:.3} of the mean, bound {:.3}, {} \
+            "{} ({} senders): {} moves, {} the least; {:.0} s; highest load {:.3} of the mean, bound {:.3}, {} \
              beyond; at most {} shards without an owner that runs",
             moves.what,
             moves.senders,
@@ -124,7 +128,7 @@
 }
 
 pub fn run(arguments: Arguments) -> Done {
-    let Arguments { senders, destinations, relays, shards, seed, json } = arguments;
+    let Arguments { senders, destinations, relays, shards, seed, day, json } = arguments;
     for (name, given, least) in
         [("senders", senders, 100), ("destinations", destinations, 100), ("relays", relays, 4)]
     {
@@ -141,7 +145,10 @@
     println!(
         "simulated: {senders} senders, {destinations} destinations, {relays} relays, {shards} shards, seed {seed}"
     );
-    let report = panel::play(plan, memory, &mut line);
+    let report = match day.then(|| Day::of(&plan)) {
+        Some(day) => day::play(plan, &day, memory, &mut line),
+        None => panel::play(plan, memory, &mut line),
+    };
     print(&report);
     if let Some(path) = json {
         let text = serde_json::to_string(&report).map_err(|e| e.to_string())?;
