--- a/crates/assignment/src/controller.rs
+++ b/crates/assignment/src/controller.rs
@@ -59,6 +59,7 @@
     publisher: Publisher,
     moves: Bucket,
     look: Moment,
+    number: u32,
     others: Vec<u32>,
     announced: Moment,
     deposed: Option<u32>,
@@ -96,6 +97,7 @@
                 now,
             ),
             look: now,
+            number: 0,
             others: Vec::new(),
             announced: now,
             deposed: None,
@@ -112,6 +114,12 @@
         self
     }
 
+    /// Its number among all that relays choose from; it is told with each announcement.
+    pub fn numbered(mut self, number: u32) -> Controller {
+        self.number = number;
+        self
+    }
+
     pub fn replica(&self) -> &Replica {
         &self.replica
     }
@@ -170,20 +178,21 @@
                 self.look(now);
             }
             Event::Line { peer, line } => {
-                match self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below) {
-                    Some(Heard::Deposed(epoch)) => {
-                        self.deposed = Some(epoch);
-                        out.push(Action::Deposed(epoch));
-                        out.extend(below.into_iter().map(Action::Below));
-                        return out;
-                    }
-                    Some(Heard::Serves { sender, shard, epoch }) => {
-                        let current = self.replica.shard(shard).is_some_and(|known| known.epoch == epoch);
-                        if current && let Some(owners) = self.placement.serves(shard, sender) {
-                            self.assign(now, shard, owners);
+                for heard in self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below) {
+                    match heard {
+                        Heard::Deposed(epoch) => {
+                            self.deposed = Some(epoch);
+                            out.push(Action::Deposed(epoch));
+                            out.extend(below.into_iter().map(Action::Below));
+                            return out;
+                        }
+                        Heard::Serves { sender, shard, epoch } => {
+                            let current = self.replica.shard(shard).is_some_and(|known| known.epoch == epoch);
+                            if current && let Some(owners) = self.placement.serves(shard, sender) {
+                                self.assign(now, shard, owners);
+                            }
                         }
                     }
-                    None => {}
                 }
             }
             Event::Lost { peer } => self.publisher.lost(peer),
@@ -195,7 +204,7 @@
             self.announced = now;
             let hello = Hello {
                 version: VERSION,
-                who: Who::Controller(0),
+                who: Who::Controller(self.number),
                 challenge: 0,
                 epoch: self.epoch,
                 position: None,
--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -8,9 +8,10 @@
 use crate::link::{Do, Link};
 use crate::publisher::{self, Heard, Publisher};
 use crate::wire::{Fault, Frame, Hello, Kind, Peer, Reason, Record, Refusals, Taken, Up, VERSION, Who};
-use crate::wire::{open_frame, seal_hello, seal_up};
+use crate::wire::{open_frame, open_hello, seal_hello, seal_up};
 use indigomast::time::Moment;
 use indigomast_rollout::wire::Secret;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
@@ -27,6 +28,8 @@
     SenderLost {
         peer: Peer,
     },
+    /// A controller says that it is there.
+    Announced(&'a str),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -66,6 +69,9 @@
     dormant: bool,
     /// Forgotten, and not told anew yet: nobody is served meanwhile.
     suspects: Vec<Key>,
+    /// Shards that whoever joins their owners serves by now, as said by them, until the controller has taken that in: said
+    /// once more on each connection, since the one before may have ended first.
+    served: BTreeMap<u32, (u32, u32)>,
     publisher: Publisher,
     pub refusals: Refusals,
 }
@@ -102,6 +108,7 @@
             staging: None,
             dormant: false,
             suspects: Vec::new(),
+            served: BTreeMap::new(),
             publisher,
             refusals: Refusals::default(),
         }
@@ -124,6 +131,12 @@
         self.filled
     }
 
+    /// Whether its copy is one that a controller may begin with and that may be saved: it has had all of one, and none of it
+    /// waits to be told anew.
+    pub fn is_whole(&self) -> bool {
+        self.filled && self.suspects.is_empty()
+    }
+
     /// Destinations of a snapshot that isn't whole yet.
     pub fn staged(&self) -> Option<usize> {
         self.staging.as_ref().map(|staging| staging.replica.live())
@@ -157,23 +170,29 @@
                 below.push(publisher::Action::Drop { peer });
             }
             Event::SenderLine { peer, line } => {
-                let heard = self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below);
-                match heard {
-                    Some(Heard::Deposed(epoch)) => {
-                        self.epoch = self.epoch.max(epoch);
-                        // Whoever this listens to may be of an earlier one: it will say so itself.
-                        if self.link.is_up() && self.replica.epoch() < epoch {
-                            self.link.failed(now);
-                            out.push(Action::Disconnect);
+                for heard in self.publisher.line(now, peer, line, &self.replica, self.epoch, &mut below) {
+                    match heard {
+                        Heard::Deposed(epoch) => {
+                            self.epoch = self.epoch.max(epoch);
+                            // Whoever this listens to may be of an earlier one: it will say so itself.
+                            if self.link.is_up() && self.replica.epoch() < epoch {
+                                self.link.failed(now);
+                                out.push(Action::Disconnect);
+                            }
+                        }
+                        Heard::Serves { sender, shard, epoch } => {
+                            self.served.insert(shard, (sender, epoch));
+                            self.serves(sender, shard, epoch, &mut out);
                         }
                     }
-                    Some(Heard::Serves { sender, shard, epoch }) => {
-                        self.serves(sender, shard, epoch, &mut out)
-                    }
-                    None => {}
                 }
             }
             Event::SenderLost { peer } => self.publisher.lost(peer),
+            Event::Announced(line) => {
+                if let Err(fault) = self.announced(now, line, &mut out) {
+                    self.refusals.add(fault);
+                }
+            }
         }
         self.publisher.tick(now, &self.replica, &mut below);
         if let Some(due) = self.link.tick(now) {
@@ -186,6 +205,24 @@
         out
     }
 
+    /// Goes to the latest controller without trying all that there could be, and back to none of an earlier epoch.
+    fn announced(&mut self, now: Moment, line: &str, out: &mut Vec<Action>) -> Result<(), Fault> {
+        let hello = open_hello(&self.secret, line)?;
+        let Who::Controller(number) = hello.who else {
+            return Err(Fault::meaning("who", "is no controller"));
+        };
+        if hello.epoch < self.epoch {
+            return Ok(());
+        }
+        if hello.epoch > self.epoch && self.link.is_up() {
+            self.link.failed(now);
+            out.push(Action::Disconnect);
+        }
+        self.epoch = hello.epoch;
+        self.link.prefer(now, number);
+        Ok(())
+    }
+
     fn hello(&mut self, now: Moment) -> Hello {
         let challenge = self.link.connected(now);
         self.number = 0;
@@ -208,6 +245,16 @@
         }
     }
 
+    /// Forgets what the controller has taken in, or has decided otherwise since.
+    fn settle(&mut self) {
+        let replica = &self.replica;
+        self.served.retain(|shard, (sender, epoch)| {
+            replica
+                .shard(*shard)
+                .is_some_and(|known| known.epoch <= *epoch && known.owners.joining() == Some(*sender))
+        });
+    }
+
     fn serves(&self, sender: u32, shard: u32, epoch: u32, out: &mut Vec<Action>) {
         if self.link.is_up() {
             let up = Up::Serves { sender, shard, epoch };
@@ -269,6 +316,12 @@
         for record in &frame.records {
             self.take(now, record, below);
         }
+        if self.number == 1 {
+            self.settle();
+            for (shard, (sender, epoch)) in &self.served {
+                self.serves(*sender, *shard, *epoch, out);
+            }
+        }
         if let Some(through) = frame.through
             && self.filled
             && (self.dormant || self.staging.is_none())
@@ -387,6 +440,11 @@
                     staging.replica.fill(staging.open.unwrap_or(0), record);
                 } else if let Ok(Some((key, before))) = self.replica.apply(record) {
                     self.publisher.changed(now, &self.replica, key, before);
+                    if let Key::Shard(shard) = key
+                        && self.replica.owners(shard).joining().is_none()
+                    {
+                        self.served.remove(&shard);
+                    }
                 }
             }
         }
