Assignment: one place checks the head of a frame, for relays and senders

Need: relay and subscriber repeated the check of a frame's number and epoch line by line, so that a mend of one could miss the other.

Change: `wire::open_frame` takes what is due, and opens no other frame.

--- a/crates/assignment/src/relay.rs
+++ b/crates/assignment/src/relay.rs
@@ -223,15 +223,8 @@
         below: &mut Vec<publisher::Action>,
     ) -> Result<(), Fault> {
         let who = Who::Relay(self.id);
-        let frame = open_frame(&self.secret, who, self.link.challenge(), line)?;
-        if frame.number != self.number + 1 {
-            let wrong = format!("{}, {} was due", frame.number, self.number + 1);
-            return Err(Fault::new(Kind::Order, "number", wrong));
-        }
-        if frame.at.epoch < self.epoch {
-            let wrong = format!("{}, {} has been heard of", frame.at.epoch, self.epoch);
-            return Err(Fault::new(Kind::Epoch, "at.epoch", wrong));
-        }
+        let due = (self.number + 1, self.epoch);
+        let frame = open_frame(&self.secret, who, self.link.challenge(), due, line)?;
         if let Some(Record::Refused(Reason::Parted(common))) = frame.records.first() {
             match self.replica.rewind(*common) {
                 Some(suspects) => {
--- a/crates/assignment/src/subscriber.rs
+++ b/crates/assignment/src/subscriber.rs
@@ -353,15 +353,8 @@
 
     fn line(&mut self, now: Moment, line: &str, out: &mut Vec<Action>) -> Result<(), Fault> {
         let who = Who::Sender(self.id);
-        let frame = open_frame(&self.secret, who, self.link.challenge(), line)?;
-        if frame.number != self.number + 1 {
-            let wrong = format!("{}, {} was due", frame.number, self.number + 1);
-            return Err(Fault::new(Kind::Order, "number", wrong));
-        }
-        if frame.at.epoch < self.epoch {
-            let wrong = format!("{}, {} has been heard of", frame.at.epoch, self.epoch);
-            return Err(Fault::new(Kind::Epoch, "at.epoch", wrong));
-        }
+        let due = (self.number + 1, self.epoch);
+        let frame = open_frame(&self.secret, who, self.link.challenge(), due, line)?;
         if let [Record::Refused(Reason::Parted(common))] = frame.records[..] {
             // What was touched since is told anew, and all if that isn't known; what is in force stays until then.
             let known = self.recent_from <= common.revision && self.staging.is_none();
--- a/crates/assignment/src/wire.rs
+++ b/crates/assignment/src/wire.rs
@@ -285,11 +285,28 @@
     secret.seal(Way::ToAgent, &who.name(Some(challenge)), frame)
 }
 
+/// The frame that is due on a connection: the next by its number, of no earlier epoch than has been heard of.
+///
 /// # Errors
 ///
-/// As [`open_hello`].
-pub fn open_frame(secret: &Secret, who: Who, challenge: u64, line: &str) -> Result<Frame, Fault> {
+/// It is another, or none.
+pub fn open_frame(
+    secret: &Secret,
+    who: Who,
+    challenge: u64,
+    due: (u64, u32),
+    line: &str,
+) -> Result<Frame, Fault> {
+    let (number, epoch) = due;
     let frame: Frame = open(secret, Way::ToAgent, &who.name(Some(challenge)), line)?;
     versioned(frame.version)?;
+    if frame.number != number {
+        let wrong = format!("{}, {number} was due", frame.number);
+        return Err(Fault::new(Kind::Order, "number", wrong));
+    }
+    if frame.at.epoch < epoch {
+        let wrong = format!("{}, {epoch} has been heard of", frame.at.epoch);
+        return Err(Fault::new(Kind::Epoch, "at.epoch", wrong));
+    }
     Ok(frame)
 }
