Scale: what is said of a role without running it stands in one place for each

Need: `senders` and `rollout` repeated the same sixteen lines (name, unit, range, goal), and every role spelt five methods for five constants.

Change: a role tells `About`; the two that are measured over a fleet's senders take their sizes from one function.

The form of the test role in tests/roles.rs follows the trait, its checks are as before.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -65,21 +65,30 @@
     }
 }
 
-/// Something that a sender, a controller or a machine does, by the size of what it does it for.
-pub trait Role {
-    fn name(&self) -> &'static str;
-
+/// What is said of a role without running it.
+#[derive(Clone, Copy, Debug)]
+pub struct About {
+    pub name: &'static str,
     /// What it is measured over, in the plural.
-    fn unit(&self) -> &'static str;
-
+    pub unit: &'static str,
     /// The least and the greatest size that are worth a run, where nobody says otherwise.
-    fn range(&self) -> (f64, f64);
-
+    pub range: (f64, f64),
     /// The size that is designed for.
-    fn goal(&self) -> f64;
-
+    pub goal: f64,
     /// What is taken for granted, for whoever reads the figures.
-    fn assumes(&self) -> &'static [&'static str];
+    pub assumes: &'static [&'static str],
+}
+
+impl About {
+    /// Of a role that is measured over the senders of a fleet, up to the one that is designed for.
+    const fn over_senders(name: &'static str, assumes: &'static [&'static str]) -> About {
+        About { name, unit: "senders", range: (10.0, target::SENDERS), goal: target::SENDERS, assumes }
+    }
+}
+
+/// Something that a sender, a controller or a machine does, by the size of what it does it for.
+pub trait Role {
+    fn about(&self) -> About;
 
     /// Bytes that a run at this size may come to need, roughly, so that none is begun that would not fit.
     fn needs(&self, size: f64) -> f64;
@@ -88,4 +97,20 @@
     ///
     /// What could not be set up or did not behave as it must.
     fn measure(&self, size: f64, seed: u64, meter: &Meter) -> Result<Vec<Reading>, String>;
+
+    fn name(&self) -> &'static str {
+        self.about().name
+    }
+
+    fn unit(&self) -> &'static str {
+        self.about().unit
+    }
+
+    fn range(&self) -> (f64, f64) {
+        self.about().range
+    }
+
+    fn goal(&self) -> f64 {
+        self.about().goal
+    }
 }
--- a/crates/scale/src/real/mod.rs
+++ b/crates/scale/src/real/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::hollow::{GRANT, settings};
 use crate::meter::Meter;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role, target};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use stand::Stand;
@@ -345,47 +345,19 @@
 }
 
 impl Role for Real {
-    fn name(&self) -> &'static str {
-        match self.what {
-            What::Destinations => "destinations",
-            What::Active => "active",
-            What::Owed => "owed",
-            What::Changes => "changes",
-        }
-    }
-
-    fn unit(&self) -> &'static str {
-        match self.what {
-            What::Destinations => "destinations",
-            What::Active => "destinations called",
-            What::Owed => "texts owed",
-            What::Changes => "changes a second",
-        }
-    }
-
-    fn range(&self) -> (f64, f64) {
-        match self.what {
-            What::Destinations => (10.0, LISTED),
-            What::Active => (3.0, ACTIVE),
-            What::Owed => (100.0, TEXTS),
-            What::Changes => (1.0, 100.0),
-        }
-    }
-
-    fn goal(&self) -> f64 {
+    fn about(&self) -> About {
+        let assumes = &[
+            "three daemons at each size, on loopback, beside whatever else the machine does; fewer where each has many threads",
+        ];
+        let of = |name, unit, range, goal| About { name, unit, range, goal, assumes };
         match self.what {
-            What::Destinations | What::Active => crate::target::DESTINATIONS,
-            What::Owed => crate::target::BACKLOG_A_SENDER,
-            What::Changes => crate::target::BURST_OF_CHANGES,
+            What::Destinations => of("destinations", "destinations", (10.0, LISTED), target::DESTINATIONS),
+            What::Active => of("active", "destinations called", (3.0, ACTIVE), target::DESTINATIONS),
+            What::Owed => of("owed", "texts owed", (100.0, TEXTS), target::BACKLOG_A_SENDER),
+            What::Changes => of("changes", "changes a second", (1.0, 100.0), target::BURST_OF_CHANGES),
         }
     }
 
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "three daemons at each size, on loopback, beside whatever else the machine does; fewer where each has many threads",
-        ]
-    }
-
     fn needs(&self, _size: f64) -> f64 {
         DAEMONS as f64 * 200e6
     }
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -94,7 +94,7 @@
             role: role.name().to_owned(),
             unit: role.unit().to_owned(),
             seed,
-            assumes: role.assumes().iter().map(|&a| a.to_owned()).collect(),
+            assumes: role.about().assumes.iter().map(|&a| a.to_owned()).collect(),
             lines: lines.collect(),
             points,
             not_run,
--- a/crates/scale/src/roles/changes.rs
+++ b/crates/scale/src/roles/changes.rs
@@ -3,7 +3,7 @@
 use crate::hollow::{GRANT, Hollow, info, list_text, parse_list, settings, site, unbounded};
 use crate::meter::Meter;
 use crate::target;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role};
 use indigomast::chance::Chance;
 use indigomast::time::{Moment, Span};
 use indigomast_sender::config::Config;
@@ -21,29 +21,19 @@
 pub struct Changes;
 
 impl Role for Changes {
-    fn name(&self) -> &'static str {
-        "changes"
-    }
-
-    fn unit(&self) -> &'static str {
-        "changes a second"
-    }
-
-    fn range(&self) -> (f64, f64) {
-        (0.1, 100.0)
-    }
-
-    fn goal(&self) -> f64 {
-        target::BURST_OF_CHANGES
-    }
-
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "a list of 4,096 entries; a change is of one entry by chance; 36 s",
-            "told: a question that is held, answered as soon as something changed, 50 ms from question to question",
-            "whole: the list in turns of 9 s, as in any fleet of more than ten; the settings' file at each change, with the \
+    fn about(&self) -> About {
+        About {
+            name: "changes",
+            unit: "changes a second",
+            range: (0.1, 100.0),
+            goal: target::BURST_OF_CHANGES,
+            assumes: &[
+                "a list of 4,096 entries; a change is of one entry by chance; 36 s",
+                "told: a question that is held, answered as soon as something changed, 50 ms from question to question",
+                "whole: the list in turns of 9 s, as in any fleet of more than ten; the settings' file at each change, with the \
              list in it",
-        ]
+            ],
+        }
     }
 
     fn needs(&self, size: f64) -> f64 {
--- a/crates/scale/src/roles/destinations.rs
+++ b/crates/scale/src/roles/destinations.rs
@@ -3,7 +3,7 @@
 use crate::hollow::{Hollow, info, list_text, outcome, parse_list, site, submits, unbounded};
 use crate::meter::Meter;
 use crate::target;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role};
 use indigomast::api::*;
 use indigomast::time::Span;
 use std::collections::BTreeMap;
@@ -19,27 +19,17 @@
 pub struct Destinations;
 
 impl Role for Destinations {
-    fn name(&self) -> &'static str {
-        "destinations"
-    }
-
-    fn unit(&self) -> &'static str {
-        "destinations"
-    }
-
-    fn range(&self) -> (f64, f64) {
-        (10.0, target::DESTINATIONS)
-    }
-
-    fn goal(&self) -> f64 {
-        target::DESTINATIONS
-    }
-
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "one endpoint a destination",
-            "active: each destination had one text, delivered, within its quiet spell of 30 s",
-        ]
+    fn about(&self) -> About {
+        About {
+            name: "destinations",
+            unit: "destinations",
+            range: (10.0, target::DESTINATIONS),
+            goal: target::DESTINATIONS,
+            assumes: &[
+                "one endpoint a destination",
+                "active: each destination had one text, delivered, within its quiet spell of 30 s",
+            ],
+        }
     }
 
     fn needs(&self, size: f64) -> f64 {
--- a/crates/scale/src/roles/outages.rs
+++ b/crates/scale/src/roles/outages.rs
@@ -3,7 +3,7 @@
 use crate::hollow::{Hollow, info, list_text, outcome, parse_list, site, submits, unbounded};
 use crate::meter::Meter;
 use crate::target;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role};
 use indigomast::api::*;
 use indigomast::time::Span;
 use std::collections::BTreeMap;
@@ -18,28 +18,18 @@
 pub struct Outages;
 
 impl Role for Outages {
-    fn name(&self) -> &'static str {
-        "outages"
-    }
-
-    fn unit(&self) -> &'static str {
-        "destinations down"
-    }
-
-    fn range(&self) -> (f64, f64) {
-        (10.0, target::DESTINATIONS * target::DOWN)
-    }
-
-    fn goal(&self) -> f64 {
-        target::DESTINATIONS * target::DOWN
-    }
-
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "each refuses connections within a millisecond and has one text at this sender at any time",
-            "as many calls may be out as there are destinations: slots hold nothing back; looked at for 300 s, a little \
+    fn about(&self) -> About {
+        About {
+            name: "outages",
+            unit: "destinations down",
+            range: (10.0, target::DESTINATIONS * target::DOWN),
+            goal: target::DESTINATIONS * target::DOWN,
+            assumes: &[
+                "each refuses connections within a millisecond and has one text at this sender at any time",
+                "as many calls may be out as there are destinations: slots hold nothing back; looked at for 300 s, a little \
              longer than the pause between two trials of one sender among 16,000",
-        ]
+            ],
+        }
     }
 
     fn needs(&self, size: f64) -> f64 {
--- a/crates/scale/src/roles/owed.rs
+++ b/crates/scale/src/roles/owed.rs
@@ -5,7 +5,7 @@
 };
 use crate::meter::Meter;
 use crate::target;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role};
 use indigomast::api::*;
 use indigomast::time::{Moment, Span};
 use indigomast_journal::{Simulated, Store};
@@ -24,27 +24,17 @@
 pub struct Owed;
 
 impl Role for Owed {
-    fn name(&self) -> &'static str {
-        "owed"
-    }
-
-    fn unit(&self) -> &'static str {
-        "texts owed"
-    }
-
-    fn range(&self) -> (f64, f64) {
-        (100.0, 1_000_000.0)
-    }
-
-    fn goal(&self) -> f64 {
-        target::BACKLOG_A_SENDER
-    }
-
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "bodies of 256 bytes, ids of 16, no keys; 64 destinations; no text has been tried",
-            "the journal's files may be of any size, on a disk that takes no time; drained without limits or paces",
-        ]
+    fn about(&self) -> About {
+        About {
+            name: "owed",
+            unit: "texts owed",
+            range: (100.0, 1_000_000.0),
+            goal: target::BACKLOG_A_SENDER,
+            assumes: &[
+                "bodies of 256 bytes, ids of 16, no keys; 64 destinations; no text has been tried",
+                "the journal's files may be of any size, on a disk that takes no time; drained without limits or paces",
+            ],
+        }
     }
 
     fn needs(&self, size: f64) -> f64 {
--- a/crates/scale/src/roles/products.rs
+++ b/crates/scale/src/roles/products.rs
@@ -3,7 +3,7 @@
 use crate::hollow::{Hollow, settings};
 use crate::meter::Meter;
 use crate::target;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role};
 use indigomast::api::Event;
 use indigomast_sender::config::Site;
 use indigomast_sender::figures::Figures;
@@ -13,27 +13,17 @@
 pub struct Products;
 
 impl Role for Products {
-    fn name(&self) -> &'static str {
-        "settings"
-    }
-
-    fn unit(&self) -> &'static str {
-        "products"
-    }
-
-    fn range(&self) -> (f64, f64) {
-        (3.0, 1000.0)
-    }
-
-    fn goal(&self) -> f64 {
-        1000.0
-    }
-
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "the operators don't say how many products there are: 1,000 is an assumption, and the most terms that a sender keeps \
+    fn about(&self) -> About {
+        About {
+            name: "settings",
+            unit: "products",
+            range: (3.0, 1000.0),
+            goal: 1000.0,
+            assumes: &[
+                "the operators don't say how many products there are: 1,000 is an assumption, and the most terms that a sender keeps \
            apart are 1,024",
-        ]
+            ],
+        }
     }
 
     fn needs(&self, size: f64) -> f64 {
--- a/crates/scale/src/roles/rollout.rs
+++ b/crates/scale/src/roles/rollout.rs
@@ -1,8 +1,7 @@
 //! What a change in stages costs its controller and each sender's agent, and what reading its plan costs.
 
 use crate::meter::Meter;
-use crate::target;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role};
 use indigomast::time::{Moment, Span};
 use indigomast_rollout::agent::{Act, Agent, Promised, Which};
 use indigomast_rollout::controller::{Controller, Input, Output};
@@ -23,27 +22,14 @@
 pub struct Rollout;
 
 impl Role for Rollout {
-    fn name(&self) -> &'static str {
-        "rollout"
-    }
-
-    fn unit(&self) -> &'static str {
-        "senders"
-    }
-
-    fn range(&self) -> (f64, f64) {
-        (10.0, target::SENDERS)
-    }
-
-    fn goal(&self) -> f64 {
-        target::SENDERS
-    }
-
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "one controller; one stage, its senders named one by one; a hundredth may be away at once",
-            "agents answer within a step of 100 ms and carry out an order in a second; no counts are compared",
-        ]
+    fn about(&self) -> About {
+        About::over_senders(
+            "rollout",
+            &[
+                "one controller; one stage, its senders named one by one; a hundredth may be away at once",
+                "agents answer within a step of 100 ms and carry out an order in a second; no counts are compared",
+            ],
+        )
     }
 
     fn needs(&self, size: f64) -> f64 {
--- a/crates/scale/src/roles/senders.rs
+++ b/crates/scale/src/roles/senders.rs
@@ -4,7 +4,7 @@
 use crate::hollow::{UNITS, info};
 use crate::meter::Meter;
 use crate::target;
-use crate::{Reading, Role};
+use crate::{About, Reading, Role};
 use indigomast::api::*;
 use indigomast::chance::Chance;
 use indigomast::rules::Rules;
@@ -29,30 +29,17 @@
 pub struct Senders;
 
 impl Role for Senders {
-    fn name(&self) -> &'static str {
-        "senders"
-    }
-
-    fn unit(&self) -> &'static str {
-        "senders"
-    }
-
-    fn range(&self) -> (f64, f64) {
-        (10.0, target::SENDERS)
-    }
-
-    fn goal(&self) -> f64 {
-        target::SENDERS
-    }
-
-    fn assumes(&self) -> &'static [&'static str] {
-        &[
-            "one destination that takes 200 calls a second; cold it takes 64 (tip-multiple 1.6 of a share of 0.2)",
-            "full: every sender has a text for it, which came to it in the first 20 s, or to all in one moment; it refuses \
+    fn about(&self) -> About {
+        About::over_senders(
+            "senders",
+            &[
+                "one destination that takes 200 calls a second; cold it takes 64 (tip-multiple 1.6 of a share of 0.2)",
+                "full: every sender has a text for it, which came to it in the first 20 s, or to all in one moment; it refuses \
              connections for 40 s, and is looked at for 300 s after",
-            "average: 1.73 texts a second come to it, each to a sender by chance, in an outage of 300 s",
-            "what is answered comes 20 ms later; discovery answers at once; all senders start in one moment",
-        ]
+                "average: 1.73 texts a second come to it, each to a sender by chance, in an outage of 300 s",
+                "what is answered comes 20 ms later; discovery answers at once; all senders start in one moment",
+            ],
+        )
     }
 
     fn needs(&self, size: f64) -> f64 {
--- a/crates/scale/tests/roles.rs
+++ b/crates/scale/tests/roles.rs
@@ -76,20 +76,9 @@
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     struct Greedy;
     impl indigomast_scale::Role for Greedy {
-        fn name(&self) -> &'static str {
-            "greedy"
-        }
-        fn unit(&self) -> &'static str {
-            "pieces"
-        }
-        fn range(&self) -> (f64, f64) {
-            (1.0, 100.0)
-        }
-        fn goal(&self) -> f64 {
-            1.0
-        }
-        fn assumes(&self) -> &'static [&'static str] {
-            &[]
+        fn about(&self) -> indigomast_scale::About {
+            let (name, unit, range, goal) = ("greedy", "pieces", (1.0, 100.0), 1.0);
+            indigomast_scale::About { name, unit, range, goal, assumes: &[] }
         }
         fn needs(&self, size: f64) -> f64 {
             size * 1e9
