--- a/crates/scale/src/roles/senders.rs
+++ b/crates/scale/src/roles/senders.rs
@@ -36,6 +36,8 @@
                 "one destination that takes 200 calls a second; cold it takes 64 (tip-multiple 1.6 of a share of 0.2)",
                 "full: every sender has a text for it, which came to it in the first 20 s, or to all in one moment; it refuses \
              connections for 40 s, and is looked at for 300 s after",
+                "started anew: all senders, or each tenth, begin in one moment, with a text for it each that an earlier life had \
+             not tried",
                 "average: 1.73 texts a second come to it, each to a sender by chance, in an outage of 300 s",
                 "what is answered comes 20 ms later; discovery answers at once; all senders start in one moment",
             ],
@@ -58,6 +60,7 @@
         let listed = full(size, ListedRate::Exact, true, seed);
         let at_once = full(size, ListedRate::Exact, false, seed);
         let unknown = full(size, ListedRate::Silent, true, seed);
+        let started = |one_in, listed_rate| started(size, one_in, listed_rate, seed);
         let average = average(size, seed);
         Ok(vec![
             Reading::count("questions a second", asked),
@@ -72,6 +75,12 @@
             Reading::count("full, rate unknown: calls a second while down", unknown.down),
             Reading::count("full, rate unknown: most in a second once back", unknown.most),
             Reading::count("full, rate unknown: part delivered in 300 s", unknown.part),
+            Reading::count("started anew, rate listed: most in a second", started(1, ListedRate::Exact)),
+            Reading::count(
+                "a tenth started anew, rate listed: most in a second",
+                started(10, ListedRate::Exact),
+            ),
+            Reading::count("started anew, rate unknown: most in a second", started(1, ListedRate::Silent)),
             Reading::count("average: senders that had a text for it", average.had),
             Reading::count("average: senders that know it is down", average.know),
             Reading::count("average: calls a second", average.calls),
@@ -152,15 +161,20 @@
     }
 
     fn text(&mut self, sender: usize) {
+        let handed = self.handed(sender);
+        self.coming[sender].push(Event::Taken(handed));
+    }
+
+    fn handed(&mut self, sender: usize) -> Handed {
         self.next += 1;
         self.held[sender] += 1;
-        self.coming[sender].push(Event::Taken(Handed {
+        Handed {
             text: TextId(self.next),
             product: ProductId(0),
             dest: DestId(0),
             key: None,
             valid_until: self.now + DAY,
-        }));
+        }
     }
 
     /// All with texts take a step; the calls that went out, and the texts delivered by what came with this step.
@@ -236,9 +250,31 @@
             break;
         }
     }
-    let most = (0..back.len()).map(|from| back[from..back.len().min(from + 50)].iter().sum::<usize>()).max();
     let first = back.iter().position(|calls| *calls > 0).map_or(BACK as f64, |at| at as f64) * STEP.as_secs();
-    Full { down, most: most.unwrap_or(0) as f64, first, part: delivered as f64 / size as f64 }
+    Full { down, most: most_in_a_second(&back), first, part: delivered as f64 / size as f64 }
+}
+
+fn most_in_a_second(calls: &[usize]) -> f64 {
+    let from = |from: usize| calls[from..calls.len().min(from + 50)].iter().sum::<usize>();
+    (0..calls.len()).map(from).max().unwrap_or(0) as f64
+}
+
+/// One in so many senders begins, with a text that it finds from before; the destination takes calls.
+fn started(size: usize, one_in: usize, listed_rate: ListedRate, seed: u64) -> f64 {
+    let mut fleet = Fleet::new(size, listed_rate, seed);
+    let mut left = 0;
+    for sender in (0..size).step_by(one_in) {
+        let handed = fleet.handed(sender);
+        fleet.coming[sender].push(Event::Resumed(handed, Past::default()));
+        left += 1;
+    }
+    let mut calls = Vec::new();
+    while left > 0 && calls.len() < BACK {
+        let (called, delivered) = fleet.step(true);
+        calls.push(called);
+        left -= delivered;
+    }
+    most_in_a_second(&calls)
 }
 
 struct Average {
