--- a/crates/control-plane/src/limits.rs
+++ b/crates/control-plane/src/limits.rs
@@ -35,6 +35,9 @@
     pub http_idle: Duration,
     /// Bytes of a report.
     pub http_body: usize,
+    /// A part waits so long at the most until it is what the controller said at one position, which a burst can hold up; then
+    /// it is shown as it is, each destination by itself no older than it was.
+    pub settle: Duration,
     /// For a connection to whoever takes notices, and again for the answer. Both together end within the second that a
     /// daemon waits: what it sends again it has not been told was taken.
     pub report_within: Duration,
@@ -53,17 +56,18 @@
             line: 64 << 10,
             order: 1 << 20,
             connections: 2048,
-            orders: 16,
+            orders: 64,
             mailbox: 4096,
             queue: 1024,
             first_line_within: Duration::from_secs(5),
             write_within: Duration::from_secs(10),
             connect_within: Duration::from_millis(1500),
-            answer_within: Duration::from_secs(20),
+            answer_within: Duration::from_secs(15),
             lazily: Duration::from_millis(1000),
             http_connections: 64,
             http_idle: Duration::from_secs(90),
             http_body: 1 << 20,
+            settle: Duration::from_secs(2),
             report_within: Duration::from_millis(400),
             hold: Duration::from_secs(60),
             gone: 4096,
