--- a/crates/control-plane/tests/carrier/bad_input.rs
+++ b/crates/control-plane/tests/carrier/bad_input.rs
@@ -170,7 +170,7 @@
         let mut hand = Hand::to(fleet.addresses[0]);
         hand.line(&seal_hello(&secret(), &one));
         let frame = hand.next().expect("a frame");
-        assert_eq!(open_frame(&secret(), who, one.challenge, &frame).expect("good").number, 1);
+        assert_eq!(open_frame(&secret(), who, one.challenge, (1, 0), &frame).expect("good").number, 1);
         hand.say(bad);
         hand.ended();
         counted(&fleet, 0, at as u64 + 1);
