--- a/crates/cli/src/assignment.rs
+++ b/crates/cli/src/assignment.rs
@@ -6,6 +6,7 @@
 use indigomast::time::Span;
 use indigomast_assignment::budget;
 use indigomast_assignment::catalog::Settings;
+use indigomast_assignment::day::{self, Day};
 use indigomast_assignment::panel::{self, Report};
 use indigomast_assignment::rehearsal::{Account, Plan};
 use indigomast_lab::assignment::checker::{self, Spread as Times};
@@ -55,6 +56,9 @@
     shards: Option<u32>,
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Instead of the hard cases: a whole simulated day of restarts, machines replaced and changes all the while
+    #[arg(long)]
+    day: bool,
     /// Write all figures to this file
     #[arg(long)]
     json: Option<PathBuf>,
@@ -129,7 +133,7 @@
     }
     for moves in &report.moves {
         println!(
-            "{} lost ({} senders): {} moves, {} the least; {:.0} s; highest load {:.3} of the mean, bound {:.3}, {} \
+            "{} ({} senders): {} moves, {} the least; {:.0} s; highest load {:.3} of the mean, bound {:.3}, {} \
              beyond; at most {} shards without an owner that runs",
             moves.what,
             moves.senders,
@@ -159,7 +163,7 @@
     if arguments.stage == Stage::Processes {
         return play(arguments);
     }
-    let Arguments { senders, destinations, relays, shards, seed, json, .. } = arguments;
+    let Arguments { senders, destinations, relays, shards, seed, day, json, .. } = arguments;
     let (senders, destinations) = (senders.unwrap_or(16_000), destinations.unwrap_or(1_100_000));
     let relays = relays.unwrap_or(39);
     for (name, given, least) in
@@ -178,7 +182,10 @@
     println!(
         "simulated: {senders} senders, {destinations} destinations, {relays} relays, {shards} shards, seed {seed}"
     );
-    let report = panel::play(plan, memory, &mut line);
+    let report = match day.then(|| Day::of(&plan)) {
+        Some(day) => day::play(plan, &day, memory, &mut line),
+        None => panel::play(plan, memory, &mut line),
+    };
     print(&report);
     if let Some(path) = json {
         let text = serde_json::to_string(&report).map_err(|e| e.to_string())?;
@@ -231,6 +238,16 @@
 
 fn play(arguments: Arguments) -> Done {
     let Arguments { plans, small, only, keep, judge, seed, json, .. } = arguments;
+    let virtual_only = [
+        ("--senders", arguments.senders.is_some()),
+        ("--destinations", arguments.destinations.is_some()),
+        ("--relays", arguments.relays.is_some()),
+        ("--shards", arguments.shards.is_some()),
+        ("--day", arguments.day),
+    ];
+    if let Some((name, _)) = virtual_only.iter().find(|(_, given)| *given) {
+        return Err(Failure::Complaint(format!("{name}: only --stage virtual reads it")));
+    }
     if let Some(path) = judge {
         let text = fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
         let history: History = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
