Lab: a rig that stood still knows it, whatever it takes up first

Cause: what was due was counted as late only where nothing had come. After a stall a word often lies there first, and hearing it carries out all that is due: the run counted as if nothing had been. The test of it had a second fault: it stopped the rig 1.5 s after the daemons' processes were there, which on a busy machine is before the clock runs, and then nothing can be late. Change: what is due is counted before either is taken up. A test in memory lays a word before a second of due traffic. The test of the program stops the rig once both daemons have written texts to their journals, not after a wait.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,7 +1,7 @@
 //! The program as people start it: one short run on sockets, the demonstration, complaints and exit codes.
 
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -266,6 +266,15 @@
     _ = fs::remove_dir_all(folder);
 }
 
+/// The sizes of the first segments of a rig's senders. Before a sender takes its first text on there are some 240 bytes in it,
+/// what its products stand for.
+fn journals_of(rig: &std::process::Child, folder: &Path) -> Vec<u64> {
+    let runs = folder.join(format!("indigomast-{}", rig.id())).join("run-0");
+    let senders = fs::read_dir(runs).into_iter().flatten().flatten();
+    let segment = |sender: fs::DirEntry| sender.path().join("state/journal/0000000000000001.seg");
+    senders.filter_map(|sender| Some(fs::metadata(segment(sender)).ok()?.len())).collect()
+}
+
 /// Guards against a sender being blamed, or praised, for a run in which the rig stood still.
 #[test]
 fn a_rig_that_stood_still_says_that_its_run_does_not_count() {
@@ -281,17 +290,19 @@
             .spawn()
             .expect("the program starts"),
     );
-    let by = Instant::now() + Duration::from_secs(15);
-    while children_of(rig.0.id()).len() < 2 && Instant::now() < by {
+    // Only what comes once its clock runs is late by the rig's own doing: it stands still when both daemons take texts on.
+    let by = Instant::now() + Duration::from_secs(60);
+    while journals_of(&rig.0, &folder).iter().filter(|size| **size > 1_000).count() < 2 {
+        assert!(Instant::now() < by, "both daemons take texts on");
+        assert!(rig.0.try_wait().expect("it can be asked").is_none(), "the run is not over");
         std::thread::sleep(Duration::from_millis(10));
     }
     let signal = |name: &str| {
         let status = Command::new("kill").args([name, &rig.0.id().to_string()]).status().expect("kill runs");
         assert!(status.success());
     };
-    // Both daemons are there; a second later texts flow. Then the stall itself.
-    std::thread::sleep(Duration::from_millis(1500));
     signal("-STOP");
+    // The stall itself, more than twice what a run may be late.
     std::thread::sleep(Duration::from_millis(600));
     signal("-CONT");
     assert_eq!(rig.0.wait().expect("it ends").code(), Some(4));
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -339,18 +339,20 @@
             }
             let next = self.world.next().into_iter().chain(self.schedule.next()).min();
             let wait = next.map_or(50.0, |at| at.since(now).as_millis()).min(50.0);
-            match words.recv_timeout(Duration::from_secs_f64(wait / 1000.0)) {
+            let word = words.recv_timeout(Duration::from_secs_f64(wait / 1000.0));
+            let now = self.now(Instant::now());
+            let due = self.world.next().filter(|due| *due <= now);
+            // Also where a word is there first, as it may be after the rig stood still: all that is due is carried out with it.
+            if let Some(due) = due.filter(|due| *due >= Moment::from_millis(0.0)) {
+                _ = self.lateness.record(micros(now.since(due)));
+            }
+            match word {
                 Ok(word) => self.hear(word),
-                Err(_) => {
-                    let now = self.now(Instant::now());
-                    if let Some(due) = self.world.next().filter(|due| *due <= now) {
-                        if due >= Moment::from_millis(0.0) {
-                            _ = self.lateness.record(micros(now.since(due)));
-                        }
-                        let orders = self.world.step(now, Vec::new());
-                        self.carry(orders);
-                    }
+                Err(_) if due.is_some() => {
+                    let orders = self.world.step(now, Vec::new());
+                    self.carry(orders);
                 }
+                Err(_) => {}
             }
             if watched.elapsed() >= Duration::from_millis(250) {
                 watched = Instant::now();
@@ -505,3 +507,6 @@
 fn micros(span: Span) -> u64 {
     ((span.as_millis() * 1000.0) as u64).max(1)
 }
+
+#[cfg(test)]
+mod tests;
