Handover: the answer has come before the old process that stood still goes on

Cause: the test gave its answer to a thread that writes it and let the old process go on at once. Its call's 3 s were up by then, so where that thread came second the call ended as a time-out, rightly, and the text went out once more from the new process. Change: the old process is seen to stand still, each thread of it; then the answer is written, which is waited for; then the new process waits its 3 s, and the old one goes on. The answer lies there unread and its time is up, which is what the test is of.

--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -16,7 +16,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Nothing here takes so long; a test that waits longer is lost.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -58,6 +58,7 @@
     pub address: SocketAddr,
     visits: Receiver<Visit>,
     connections: Arc<AtomicUsize>,
+    answered: Arc<AtomicUsize>,
     /// Where connections come from that only mark a turn.
     marks: Arc<Mutex<BTreeSet<SocketAddr>>>,
 }
@@ -68,8 +69,10 @@
         let address = listener.local_addr().expect("bound");
         let (arrivals, visits) = unbounded();
         let connections = Arc::<AtomicUsize>::default();
+        let answered = Arc::<AtomicUsize>::default();
         let marks = Arc::<Mutex<BTreeSet<SocketAddr>>>::default();
         let (count, turns) = (Arc::clone(&connections), Arc::clone(&marks));
+        let written = Arc::clone(&answered);
         thread::spawn(move || {
             let mut turn = 0;
             for stream in listener.incoming().flatten() {
@@ -79,11 +82,11 @@
                     continue;
                 }
                 count.fetch_add(1, Ordering::Relaxed);
-                let arrivals = arrivals.clone();
-                thread::spawn(move || Host::serve(stream, turn, &arrivals));
+                let (arrivals, written) = (arrivals.clone(), Arc::clone(&written));
+                thread::spawn(move || Host::serve(stream, turn, &arrivals, &written));
             }
         });
-        Host { address, visits, connections, marks }
+        Host { address, visits, connections, answered, marks }
     }
 
     /// Waits until every connection made before now is accepted: connections are accepted in the order they are made.
@@ -100,7 +103,7 @@
         assert!(matches!(stream.read(&mut [0]), Ok(0)), "the host ends it when it has accepted it");
     }
 
-    fn serve(mut stream: TcpStream, turn: usize, arrivals: &Sender<Visit>) {
+    fn serve(mut stream: TcpStream, turn: usize, arrivals: &Sender<Visit>, written: &AtomicUsize) {
         let (mut ring, limits) = (Ring::default(), Limits { body: 1 << 20, ..limits() });
         loop {
             while let Some(request) = take_request(&mut ring, &limits).expect("senders speak HTTP") {
@@ -112,6 +115,7 @@
                 if stream.write_all(&raw).is_err() {
                     return;
                 }
+                written.fetch_add(1, Ordering::SeqCst);
             }
             if !matches!(ring.fill(&mut stream), Ok(count) if count > 0) {
                 return;
@@ -132,6 +136,11 @@
         self.connections.load(Ordering::Relaxed)
     }
 
+    /// How many answers have been written so far: one that a test has given is on its way a moment later only.
+    pub fn answered(&self) -> usize {
+        self.answered.load(Ordering::SeqCst)
+    }
+
     pub fn is_quiet(&self) -> bool {
         self.visits.is_empty()
     }
@@ -293,6 +302,21 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Stops it, and waits until each of its threads stands still: a signal is on its way for a moment.
+    pub fn stands_still(&self) {
+        self.signal("-STOP");
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let stopped = |task: &fs::DirEntry| {
+            let stat = fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+        };
+        let by = Instant::now() + PATIENCE;
+        while !fs::read_dir(&tasks).expect("it is there").flatten().all(|task| stopped(&task)) {
+            assert!(Instant::now() < by, "a thread goes on");
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// From now on it may open no more than so many descriptors, whatever it found at its start.
     pub fn allow_descriptors(&self, most: u64) {
         let limit = Rlimit { current: Some(most), maximum: Some(most) };
--- a/crates/sender/tests/sender/handover.rs
+++ b/crates/sender/tests/sender/handover.rs
@@ -184,7 +184,19 @@
         let mut old = world.first();
         assert_eq!(old.hand_in("free", "a", 0), 202);
         let held = world.endpoint.next();
-        old.signal("-STOP");
+        old.stands_still();
+        // The answer has come, unread, before the old one goes on, and by then its call's time is up.
+        let held = if wakes {
+            held.status(200);
+            let by = Instant::now() + PATIENCE;
+            while world.endpoint.answered() == 0 {
+                assert!(Instant::now() < by, "the answer is written");
+                thread::sleep(Duration::from_millis(1));
+            }
+            None
+        } else {
+            Some(held)
+        };
         let (new, control) = world.start();
         new.line_with("its end is waited for");
         assert_eq!(ready(control), 200);
@@ -195,7 +207,6 @@
         new.signal("-HUP");
         if wakes {
             // The answer that came meanwhile counts.
-            held.status(200);
             old.signal("-CONT");
             assert_eq!(old.wait(), Some(0));
         } else {
