Program: strangers stay long enough for their end to be seen

Cause: those who say nothing came at 0.5 s, were ended at 2.5 s and no longer looked at from 3.5 s on: where the rig or a daemon lost a second, none was seen to end, and the time that a silent one is held was 0 for the same reason, which passed as less than 4 s. Change: they stay 5 s instead of 3, so that the bound of 4 s can be broken; a time of 0 fails. No count was eased.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -38,8 +38,9 @@
     let folder = folder("burden");
     let short = fs::read_to_string(scenario("short")).expect("the scenario");
     let file = folder.join("burdened.toml").display().to_string();
+    // Long enough for those who say nothing to be ended and that to be seen, also by rig and senders that lose a second or two.
     let burden = "[burden]\ncore_share = 0.5\nstops = [{ at_s = 1, for_s = 0.3 }]\n\
-                  strangers = { at_s = 0.5, for_s = 3, silent = 5, curious = 5, bad_a_second = 10, addresses = 3 }\n";
+                  strangers = { at_s = 0.5, for_s = 5, silent = 5, curious = 5, bad_a_second = 10, addresses = 3 }\n";
     fs::write(&file, format!("{short}\n{burden}")).expect("writable");
     let output = run(&["lab", "run", &file, "--stage", "virtual"]);
     assert_eq!(output.status.code(), Some(1), "{}", said(&output));
@@ -53,7 +54,7 @@
     let count = |name: &str| strangers[name].as_f64().unwrap_or_else(|| panic!("no {name} in {strangers}"));
     assert!(count("opened") >= 20.0 && count("answered") >= 5.0 && count("ended") >= 5.0, "{strangers}");
     // Nobody who says nothing keeps a place for longer than a request may take.
-    assert!(count("longest_silent_ms") < 4_000.0, "{strangers}");
+    assert!((1.0..4_000.0).contains(&count("longest_silent_ms")), "{strangers}");
     _ = fs::remove_dir_all(folder);
 }
 
