--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,7 +1,7 @@
 //! The program as people start it: one short run on sockets, the demonstration, complaints and exit codes.
 
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -38,8 +38,9 @@
     let folder = folder("burden");
     let short = fs::read_to_string(scenario("short")).expect("the scenario");
     let file = folder.join("burdened.toml").display().to_string();
+    // Long enough for those who say nothing to be ended and that to be seen, also by rig and senders that lose a second or two.
     let burden = "[burden]\ncore_share = 0.5\nstops = [{ at_s = 1, for_s = 0.3 }]\n\
-                  strangers = { at_s = 0.5, for_s = 3, silent = 5, curious = 5, bad_a_second = 10, addresses = 3 }\n";
+                  strangers = { at_s = 0.5, for_s = 5, silent = 5, curious = 5, bad_a_second = 10, addresses = 3 }\n";
     fs::write(&file, format!("{short}\n{burden}")).expect("writable");
     let output = run(&["lab", "run", &file, "--stage", "virtual"]);
     assert_eq!(output.status.code(), Some(1), "{}", said(&output));
@@ -53,7 +54,7 @@
     let count = |name: &str| strangers[name].as_f64().unwrap_or_else(|| panic!("no {name} in {strangers}"));
     assert!(count("opened") >= 20.0 && count("answered") >= 5.0 && count("ended") >= 5.0, "{strangers}");
     // Nobody who says nothing keeps a place for longer than a request may take.
-    assert!(count("longest_silent_ms") < 4_000.0, "{strangers}");
+    assert!((1.0..4_000.0).contains(&count("longest_silent_ms")), "{strangers}");
     _ = fs::remove_dir_all(folder);
 }
 
@@ -266,6 +267,15 @@
     _ = fs::remove_dir_all(folder);
 }
 
+/// The sizes of the first segments of a rig's senders. Before a sender takes its first text on there are some 240 bytes in it,
+/// what its products stand for.
+fn journals_of(rig: &std::process::Child, folder: &Path) -> Vec<u64> {
+    let runs = folder.join(format!("indigomast-{}", rig.id())).join("run-0");
+    let senders = fs::read_dir(runs).into_iter().flatten().flatten();
+    let segment = |sender: fs::DirEntry| sender.path().join("state/journal/0000000000000001.seg");
+    senders.filter_map(|sender| Some(fs::metadata(segment(sender)).ok()?.len())).collect()
+}
+
 /// Guards against a sender being blamed, or praised, for a run in which the rig stood still.
 #[test]
 fn a_rig_that_stood_still_says_that_its_run_does_not_count() {
@@ -281,17 +291,19 @@
             .spawn()
             .expect("the program starts"),
     );
-    let by = Instant::now() + Duration::from_secs(15);
-    while children_of(rig.0.id()).len() < 2 && Instant::now() < by {
+    // Only what comes once its clock runs is late by the rig's own doing: it stands still when both daemons take texts on.
+    let by = Instant::now() + Duration::from_secs(60);
+    while journals_of(&rig.0, &folder).iter().filter(|size| **size > 1_000).count() < 2 {
+        assert!(Instant::now() < by, "both daemons take texts on");
+        assert!(rig.0.try_wait().expect("it can be asked").is_none(), "the run is not over");
         std::thread::sleep(Duration::from_millis(10));
     }
     let signal = |name: &str| {
         let status = Command::new("kill").args([name, &rig.0.id().to_string()]).status().expect("kill runs");
         assert!(status.success());
     };
-    // Both daemons are there; a second later texts flow. Then the stall itself.
-    std::thread::sleep(Duration::from_millis(1500));
     signal("-STOP");
+    // The stall itself, more than twice what a run may be late.
     std::thread::sleep(Duration::from_millis(600));
     signal("-CONT");
     assert_eq!(rig.0.wait().expect("it ends").code(), Some(4));
