Control plane: an epoch that was heard of is kept over a restart

Need: a process that had heard of a later controller and was restarted before it had that one's copy could be promoted with the very same epoch, and two controllers of one epoch are a mistake that nothing finds. Change: the highest epoch heard of is written (whole, renamed, synced) when it is heard and before a promoted process acts; after a restart its relay obeys no earlier one and `promote` refuses it. A file that holds no number is a complaint.

--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -7,6 +7,7 @@
 
 use crate::config;
 use crate::connection::{Dialer, Outgoing, Traffic, join};
+use crate::copy::write_lasting;
 use crate::limits::Limits;
 use crate::listing::Listing;
 use crate::moment;
@@ -14,7 +15,6 @@
 use indigomast_assignment::budget;
 use indigomast_assignment::catalog::Position;
 use indigomast_assignment::subscriber::{self, Subscriber};
-use indigomast_keep::process::write_whole;
 use indigomast_sender::http::{Request, put_answer, take_request};
 use indigomast_sender::limits::{Grant, Limits as HttpLimits};
 use indigomast_sender::notices::Post;
@@ -244,12 +244,6 @@
     }
 }
 
-/// Whole or not at all, also over a loss of power.
-fn write_lasting(path: &Path, bytes: &[u8]) -> io::Result<()> {
-    write_whole(path, bytes)?;
-    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
-}
-
 /// Which revisions may be used.
 struct Revisions {
     path: PathBuf,
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -6,7 +6,7 @@
 
 use crate::config;
 use crate::connection::{Dialer, Lines, Outgoing, Traffic, Writer, join, tell};
-use crate::copy::{Copy, Found};
+use crate::copy::{Copy, Epochs, Found};
 use crate::limits::Limits;
 use crate::moment;
 use crate::order::{Order, OrderSession, open_first};
@@ -120,6 +120,8 @@
                     _ => format!("state: {}: {e}", config.state.display()),
                 }
             })?;
+        let epochs =
+            Epochs::open(&config.state).map_err(|e| format!("state: {}: {e}", config.state.display()))?;
         let listener =
             TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
         let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
@@ -165,7 +167,7 @@
             moment(began),
         );
         let dialer = Dialer::new(Arc::clone(&limits), Arc::clone(&bytes.above), mailbox.clone());
-        let actor = Actor {
+        let mut actor = Actor {
             config: config.clone(),
             settings,
             limits,
@@ -174,7 +176,7 @@
             relay,
             controller: None,
             damaged,
-            heard: 0,
+            epochs,
             dialer,
             peers: HashMap::new(),
             refusals: Refusals::default(),
@@ -184,6 +186,11 @@
             bytes,
             announcing: Arc::default(),
         };
+        if actor.epochs.highest() > 0 {
+            // The relay obeys none of an earlier epoch; who has this one isn't known any more.
+            let line = announcement(&actor.secret, u32::MAX, actor.epochs.highest());
+            actor.step_relay(relay::Event::Announced(&line));
+        }
         let actor = thread::Builder::new()
             .name("control".into())
             .spawn(move || actor.run(&words))
@@ -422,8 +429,8 @@
     controller: Option<Controller>,
     /// Where the copy was that could not be read.
     damaged: Option<String>,
-    /// The highest epoch that anybody here has heard of.
-    heard: u32,
+    /// That anybody here has heard of.
+    epochs: Epochs,
     dialer: Dialer<Word>,
     peers: HashMap<u64, Peer>,
     refusals: Refusals,
@@ -503,7 +510,7 @@
             Who::Relay(_) => _ = self.peers.remove(&peer),
             Who::Sender(_) => self.step_relay(relay::Event::SenderLine { peer, line }),
             Who::Controller(_) => {
-                self.heard = self.heard.max(open_hello(&self.secret, line).map_or(0, |hello| hello.epoch));
+                self.hear(open_hello(&self.secret, line).map_or(0, |hello| hello.epoch));
                 if self.controller.is_some() {
                     self.step_controller(controller::Event::Line { peer, line });
                 }
@@ -530,6 +537,12 @@
         }
     }
 
+    fn hear(&mut self, epoch: u32) {
+        if let Err(e) = self.epochs.heard(epoch) {
+            log::warn!("epoch {epoch} can't be written, and may be forgotten: {e}");
+        }
+    }
+
     fn below(&mut self, action: publisher::Action) {
         match action {
             publisher::Action::Say { peer, line } => {
@@ -560,7 +573,7 @@
                 relay::Action::Below(action) => self.below(action),
             }
         }
-        self.heard = self.heard.max(self.relay.epoch());
+        self.hear(self.relay.epoch());
     }
 
     fn step_controller(&mut self, event: controller::Event) {
@@ -574,7 +587,7 @@
                 controller::Action::Below(action) => self.below(action),
                 controller::Action::Announce { controller, line } => self.announce(controller, line),
                 controller::Action::Deposed(epoch) => {
-                    self.heard = self.heard.max(epoch);
+                    self.hear(epoch);
                     self.step_down(epoch);
                 }
                 controller::Action::Refused(fault) => log::warn!("a change was refused: {fault}"),
@@ -691,7 +704,8 @@
 
     fn promote(&mut self, epoch: u32) -> Result<(), String> {
         let own = self.controller.as_ref().map(Controller::replica);
-        let known = own.map_or(0, Replica::epoch).max(self.relay.replica().epoch()).max(self.heard);
+        let known =
+            own.map_or(0, Replica::epoch).max(self.relay.replica().epoch()).max(self.epochs.highest());
         if epoch <= known {
             return Err(format!("epoch {epoch}: {known} has been heard of"));
         }
@@ -702,27 +716,16 @@
             (None, None) if known == 0 && self.damaged.is_none() => Replica::new(&self.settings),
             (None, None) => return Err("there is no whole copy here".into()),
         };
+        // Before it acts as one: after a restart it must not be promoted with this epoch once more.
+        self.epochs.heard(epoch).map_err(|e| format!("the epoch can't be written: {e}"))?;
         let now = self.now();
         self.drop_relays();
         let others = (0..self.config.controls.len() as u32).filter(|n| *n != self.config.number).collect();
         let controller = Controller::new(epoch, copy, &self.settings, self.secret.clone(), now);
         self.controller = Some(controller.beside(others).numbered(self.config.number));
-        self.heard = epoch;
         log::info!("controller of epoch {epoch} from here on");
         // Its own relay leaves an earlier one without waiting to be told by others.
-        let hello = Hello {
-            version: VERSION,
-            who: Who::Controller(self.config.number),
-            challenge: 0,
-            epoch,
-            position: None,
-            seen: None,
-            held: Vec::new(),
-            taken: None,
-            suspects: Vec::new(),
-            credit: 0,
-        };
-        let line = seal_hello(&self.secret, &hello);
+        let line = announcement(&self.secret, self.config.number, epoch);
         self.step_relay(relay::Event::Announced(&line));
         Ok(())
     }
@@ -758,7 +761,7 @@
             "controller": controller.is_some(),
             "filled": self.relay.is_filled(),
             "position": self.position().map(shown),
-            "seen": self.heard,
+            "seen": self.epochs.highest(),
             "sessions": self.relay.publisher().sessions(),
             "refused": refused,
             "destinations": self.replica().live(),
@@ -866,6 +869,23 @@
     }
 }
 
+/// What a controller says to be known, for a relay of its own process.
+fn announcement(secret: &Secret, number: u32, epoch: u32) -> String {
+    let hello = Hello {
+        version: VERSION,
+        who: Who::Controller(number),
+        challenge: 0,
+        epoch,
+        position: None,
+        seen: None,
+        held: Vec::new(),
+        taken: None,
+        suspects: Vec::new(),
+        credit: 0,
+    };
+    seal_hello(secret, &hello)
+}
+
 /// Says why a line was refused, if one was.
 fn note(whose: &str, refusals: &Refusals, before: u64) {
     if refusals.all() > before
--- a/crates/control-plane/src/copy.rs
+++ b/crates/control-plane/src/copy.rs
@@ -9,6 +9,7 @@
 use indigomast_assignment::catalog::{Position, Replica, Settings};
 use indigomast_assignment::image::{Batch, Piece};
 use indigomast_assignment::wire::{Fault, Kind};
+use indigomast_keep::process::write_whole;
 use indigomast_rollout::wire::{Secret, Way};
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, BufWriter, ErrorKind, Read, Seek, SeekFrom, Write};
@@ -23,6 +24,59 @@
 /// A log as long as the snapshot, and no shorter than this, is worth a new snapshot.
 const WORTH: u64 = 4 << 20;
 
+const EPOCH: &str = "epoch";
+
+/// The highest epoch that a process has heard of, which it must not forget: one that is promoted with it a second time, after
+/// a restart, would be a second controller of that epoch (as a term in Raft, which is on the disk before it is acted upon).
+pub struct Epochs {
+    path: PathBuf,
+    highest: u32,
+}
+
+impl Epochs {
+    /// # Errors
+    ///
+    /// The file can't be read, or holds no number (`InvalidData`).
+    pub fn open(folder: &Path) -> io::Result<Epochs> {
+        let path = folder.join(EPOCH);
+        let highest = match fs::read_to_string(&path) {
+            Ok(text) => text.trim().parse().map_err(|e| {
+                io::Error::new(ErrorKind::InvalidData, format!("{}: {e}: {text:?}", path.display()))
+            })?,
+            Err(e) if e.kind() == ErrorKind::NotFound => 0,
+            Err(e) => return Err(e),
+        };
+        Ok(Epochs { path, highest })
+    }
+
+    pub fn highest(&self) -> u32 {
+        self.highest
+    }
+
+    /// One is heard of; it lasts once this returns.
+    ///
+    /// # Errors
+    ///
+    /// The disk's; it counts in this life all the same.
+    pub fn heard(&mut self, epoch: u32) -> io::Result<()> {
+        if epoch <= self.highest {
+            return Ok(());
+        }
+        self.highest = epoch;
+        write_lasting(&self.path, epoch.to_string().as_bytes())
+    }
+}
+
+/// Whole or not at all, also over a loss of power.
+///
+/// # Errors
+///
+/// The disk's.
+pub fn write_lasting(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    write_whole(path, bytes)?;
+    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
+}
+
 /// What was found at the start.
 #[derive(Debug)]
 pub enum Found {
--- a/crates/control-plane/tests/carrier/processes.rs
+++ b/crates/control-plane/tests/carrier/processes.rs
@@ -1,6 +1,7 @@
 //! Whole fleets: orders, kills, cuts, two controllers, a daemon's questions.
 
 use crate::support::{Fleet, call, get, ids, member, page, secret, until};
+use indigomast_assignment::wire::{Hello, VERSION, Who, seal_hello};
 use indigomast_control_plane::agent::Agent;
 use indigomast_control_plane::config;
 use indigomast_control_plane::limits::Limits;
@@ -320,6 +321,36 @@
     until("told anew", || (fleet.status(1)["destinations"] == 1).then_some(()));
 }
 
+#[test]
+fn an_epoch_that_was_heard_of_is_never_given_again_also_after_a_restart() {
+    let mut fleet = served(1);
+    // Somebody announces a later one: this one is deposed by that, and no copy of it ever comes.
+    let hello = Hello {
+        version: VERSION,
+        who: Who::Controller(7),
+        challenge: 0,
+        epoch: 9,
+        position: None,
+        seen: None,
+        held: Vec::new(),
+        taken: None,
+        suspects: Vec::new(),
+        credit: 0,
+    };
+    let mut stream = TcpStream::connect(fleet.addresses[0]).expect("it listens");
+    stream.write_all(format!("{}\n", seal_hello(&secret(), &hello)).as_bytes()).expect("written");
+    until("it has heard", || (fleet.status(0)["seen"] == 9).then_some(()));
+    for _ in 0..2 {
+        let status = fleet.status(0);
+        assert_eq!((status["controller"].as_bool(), status["epoch"].as_u64()), (Some(false), Some(1)));
+        assert_eq!(status["seen"], 9);
+        assert!(refused(&fleet.ask(0, Order::Promote { epoch: 9 })).contains("9 has been heard of"));
+        fleet.stop(0);
+        fleet.start(0);
+    }
+    assert_eq!(fleet.order(0, Order::Promote { epoch: 10 }).0, 10);
+}
+
 /// A way to an address that can be cut: connections through it end, and new ones are not taken any further.
 struct Way {
     address: SocketAddr,
@@ -423,9 +454,9 @@
     fleet.members(0, &[4, 5, 6, 7]);
     // A relay that takes in what it is told for a while and then nothing: everything is for it.
     let stalled = TcpStream::connect(fleet.addresses[0]).expect("it listens");
-    let hello = indigomast_assignment::wire::Hello {
-        version: indigomast_assignment::wire::VERSION,
-        who: indigomast_assignment::wire::Who::Relay(77),
+    let hello = Hello {
+        version: VERSION,
+        who: Who::Relay(77),
         challenge: 5,
         epoch: 1,
         position: None,
@@ -435,7 +466,7 @@
         suspects: Vec::new(),
         credit: 1 << 20,
     };
-    let line = indigomast_assignment::wire::seal_hello(&secret(), &hello);
+    let line = seal_hello(&secret(), &hello);
     (&stalled).write_all(format!("{line}\n").as_bytes()).expect("written");
     until("it is a relay", || (fleet.status(0)["relays"].as_u64()? >= 3).then_some(()));
     fleet.start_agent(4, &[0]);
