Control plane: a test of revisions whose clock was set back

Need: that a list's revision grows rested on the time of day in every test; what is set apart on the disk was never the one that counted. Change: a life that begins behind what an earlier one set apart.

--- a/crates/control-plane/tests/carrier/processes.rs
+++ b/crates/control-plane/tests/carrier/processes.rs
@@ -213,6 +213,25 @@
     assert!(fleet.page(4).1["revision"].as_u64() > Some(last));
 }
 
+#[test]
+fn a_clock_that_was_set_back_brings_no_revision_again() {
+    let mut fleet = served(1);
+    let at = fleet.put(0, 17, &member(17, "a"));
+    fleet.agent_has(4, at);
+    fleet.stop_agent(4);
+    // A life whose clock was ahead has set these apart.
+    let ahead = 1u64 << 52;
+    std::fs::write(fleet.folder.0.join("agent-4/revision"), ahead.to_string()).expect("written");
+    for life in 0..2 {
+        fleet.start_agent(4, &[0]);
+        let told = fleet.page(4).1["revision"].as_u64().expect("a number");
+        assert!(told > ahead, "life {life}: {told}");
+        fleet.stop_agent(4);
+        let kept = std::fs::read_to_string(fleet.folder.0.join("agent-4/revision")).expect("there");
+        assert!(kept.parse::<u64>().expect("a number") >= told, "{kept}");
+    }
+}
+
 #[test]
 fn a_part_that_was_damaged_or_is_another_s_is_never_served() {
     let mut fleet = served(1);
