--- a/crates/lab/tests/assignment_checker.rs
+++ b/crates/lab/tests/assignment_checker.rs
@@ -419,6 +419,25 @@
     }
 }
 
+/// The older controller gave it a shard at a revision that the one that counts hasn't come to: it goes with that history, and
+/// the number says nothing of the other.
+#[test]
+fn a_shard_that_only_an_undone_history_gave_goes_with_it() {
+    let mut case = Case::new();
+    let (shard, ..) = pair(0);
+    let fork = case.revision;
+    case.revision = fork + 50;
+    case.owners.insert(shard, vec![0, 1, 2]);
+    case.owners(500.0);
+    let gained = case.due(2);
+    case.part(600.0, 2, gained);
+    case.owners.insert(shard, vec![0, 1]);
+    case.promote(700.0, 1, 2, fork + 1, 1);
+    case.owners(720.0);
+    case.look(800.0);
+    sound(&case.end(1000.0));
+}
+
 /// Cut off from all, nothing may change, over a restart as well; in force is the last word.
 #[test]
 fn a_sender_cut_off_keeps_its_last_word() {
