One unanswered call tells of an outage where a cold receiver bears few calls of a sender

In the restarts texts with one submit in doubt went at once.

Change: where calls to the coldest receiver are over 1.5 s apart for a sender, a time-out or failed connect marks the lane down at once; the first trial comes after 1.5 s and the sender's turn. One endpoint's later failures don't do it again. The next call after a trial waits for half of what is left of its gap, for all of it without a known rate. A start goes gently there also where a text was merely out. Texts that fade before the next call of a cold lane go first.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,7 +32,8 @@
 const STRIKES_OUT: u32 = 6;
 /// A strike counts double so long after the one before.
 const FAR_APART: Span = Span::millis(1_000);
-/// After a quick failure a lane rests so long, or as its part of the rate asks if that is less.
+/// After a quick failure a lane rests so long, or as its part of the rate asks if that is less. Where calls
+/// to a cold receiver are to be further apart, a sender sends too few to find it down by their number.
 const SECOND_LOOK: Span = Span::millis(1_500);
 /// Where no rate is known, what a sender is handed at its peaks is this much over its mean.
 const PEAK: f64 = 2.0;
@@ -138,8 +139,8 @@
     units: f64,
     rank: Option<Rank>,
     look_at: Option<Moment>,
-    /// An earlier process left texts here: why they wait is not known, and lanes begin as if cold.
-    gentle: bool,
+    /// An earlier process left texts here, and whether one of them was not merely out when that ended.
+    gentle: Option<bool>,
 }
 
 /// Fresh before rescheduled, then the fewest calls out, then the newest text.
@@ -383,9 +384,8 @@
         let Learnt { endpoints, lanes, lost, asked, rests, started } = learnt;
         let mut rules = Rules { endpoints, lanes, lost, started, ..Rules::new(settings, seed) };
         rules.endpoints.values_mut().for_each(|at| at.running = false);
-        for (dest, asked, asked_at) in asked {
-            rules.holds.insert(dest, Hold { asked, asked_at, ..Hold::default() });
-        }
+        let hold = |(dest, asked, asked_at)| (dest, Hold { asked, asked_at, ..Hold::default() });
+        rules.holds.extend(asked.into_iter().map(hold));
         for (id, until) in rests {
             rules.keys.insert(id, KeyLine { rest_until: Some(until), ..KeyLine::default() });
             rules.dues.insert((until, Due::Key(id)));
@@ -401,9 +401,7 @@
         let mut beat = self.now == Moment::default();
         self.now = now;
         self.started.get_or_insert(now);
-        if beat && self.settings.must_subscribe {
-            self.actions.push(Action::Subscribe { on: true });
-        }
+        self.actions.extend((beat && self.settings.must_subscribe).then_some(Action::Subscribe { on: true }));
         for event in events {
             match event {
                 Event::Listed { scope, entries } => self.listed(scope, entries),
@@ -428,9 +426,7 @@
             self.dues.pop_first();
             self.due(due);
         }
-        if beat {
-            self.actions.push(Action::WakeAt(now + BEAT.max(self.settings.tick)));
-        }
+        self.actions.extend(beat.then(|| Action::WakeAt(now + BEAT.max(self.settings.tick))));
         self.dispatch();
         self.make_room();
         std::mem::take(&mut self.actions)
@@ -529,8 +525,8 @@
         let now = self.now;
         let hold = self.holds.entry(dest).or_default();
         (hold.asked, hold.asked_at) = (hold.asked * hold.faded(now) + f64::from(u8::from(!resumed)), now);
-        // What was out alone tells of no outage.
-        hold.gentle |= resumed && !untold && (submits != 1 || doubt.is_none());
+        // What was out alone tells of no outage, or not of one that is over.
+        hold.gentle = hold.gentle.max((resumed && !untold).then_some(submits != 1 || doubt.is_none()));
         self.count_held(dest, 1);
         self.put(id, Place::Behind);
         match key {
@@ -608,9 +604,7 @@
         if text.out.is_none() && !text.untold {
             self.texts.remove(&id);
         }
-        if let Some(key) = key {
-            self.advance(key);
-        }
+        key.into_iter().for_each(|key| self.advance(key));
     }
 
     fn repeat(&self, text: &Text) -> Repeat {
@@ -696,11 +690,8 @@
                 let shares = text.out.is_some_and(|call| self.calls[&call].texts.len() > 1);
                 let cut = text.valid_until - CUT_MARGIN + self.settings.tick * 2.0;
                 let latest = if shares { text.valid_until - ANSWER_MARGIN } else { cut };
-                if text.out.is_some() && self.now < latest {
-                    _ = self.dues.insert((latest, Due::End(id)));
-                } else {
-                    self.give_up(id);
-                }
+                let again = text.out.is_some() && self.now < latest;
+                if again { self.dues.extend([(latest, Due::End(id))]) } else { self.give_up(id) }
             }
             Due::Key(key) => self.advance(key),
             Due::Ask => self.actions.push(Action::Subscribe { on: true }),
@@ -778,12 +769,8 @@
         }
         self.touched.insert(self.endpoints[&endpoint].dest);
         self.close_idle(endpoint);
-        if ended {
-            self.end(id);
-        } else {
-            let told = outcome.told_wait.map_or(self.now, |wait| self.now + wait);
-            self.reschedule(id, told);
-        }
+        let told = outcome.told_wait.map_or(self.now, |wait| self.now + wait);
+        if ended { self.end(id) } else { self.reschedule(id, told) }
     }
 
     /// Guards against connections that fall silent and hold slots while their receiver answers on others.
@@ -810,6 +797,7 @@
             self.holds.get(&lane_id.0).is_some_and(|hold| !hold.fresh.is_empty() || !hold.ready.is_empty());
         let (known, part) = (self.known_rate(lane_id), self.part(lane_id));
         let gap = Span::from_millis(1000.0 / part.max(1e-3));
+        let few = self.cold_gap(lane_id, now) > SECOND_LOOK;
         let jitter = 0.8 + 0.4 * self.chance.share();
         let unpaced = self.lanes[&lane_id].pace == 0.0;
         let told = outcome.allowance.filter(|told| told.calls_per_sec > 0.0);
@@ -834,7 +822,9 @@
                 if known == 0.0 && lane.health.state == State::Down {
                     lane.pace = 0.0;
                 }
-                lane.health.succeeded(now, turn, cold);
+                // The trial was of the budget too, and parts of an unknown rate may add up to more than it.
+                let left = lane.health.next.since(now) * if known > 0.0 { 0.5 } else { 1.0 };
+                lane.health.succeeded(now, turn.max(left), cold);
                 lane.time_outs = 0;
                 if lane.pace > 0.0 && backlog && !scarce {
                     let most = if known > 0.0 { known } else { f64::INFINITY };
@@ -842,10 +832,8 @@
                 }
                 let slow = lane.learn(outcome.latency.as_millis(), common);
                 self.risen.retain(|(_, id, _)| *id != lane_id);
-                self.risen.push_back((now, lane_id, lane.recent / lane.usual));
-                if self.risen.len() > TELLING {
-                    self.risen.pop_front();
-                }
+                self.risen.push_front((now, lane_id, lane.recent / lane.usual));
+                self.risen.truncate(TELLING);
                 return if slow { lane.cut(now, sent) } else { lane.grow(slots) };
             }
             // Texts with little time left would mark a sound but unhurried receiver down.
@@ -860,9 +848,9 @@
         if outcome.verdict == Verdict::Full && sent >= lane.cut_at {
             // Where being turned away costs and neither a wait nor a rate is told, a pace far above what is
             // handed in would go on holding nothing back.
-            let told = outcome.told_wait.is_some() || lane.told_rate > 0.0;
-            let used =
-                if told || self.settings.turned_away_price == 0.0 { lane.pace } else { lane.pace.min(part) };
+            let free = self.settings.turned_away_price == 0.0;
+            let told = free || outcome.told_wait.is_some() || lane.told_rate > 0.0;
+            let used = if told { lane.pace } else { lane.pace.min(part) };
             let from = if lane.pace > 0.0 { used } else { part.max(1.0) };
             let least = if known > 0.0 { part * LEAST_PART } else { LEAST_PACE };
             lane.pace = (from * PACE_CUT).max(least);
@@ -870,6 +858,7 @@
         }
         lane.cut(now, sent);
         let silent = outcome.verdict == Verdict::TimeOut && !cut_short;
+        let new = endpoint.health.strikes == 0;
         endpoint.health.failed(now, sent, weight, silent, jitter);
         // One endpoint's failures alone don't mark a lane down that has others.
         let others = || self.holds[&lane_id.0].endpoints.iter().filter(|id| **id != endpoint_id);
@@ -877,8 +866,14 @@
             || others().count() == 0
             || others().any(|id| self.endpoints[id].health.strikes > 0);
         let most = if shared { weight } else { (STRIKES_OUT - 1).saturating_sub(lane.health.strikes) };
-        lane.health.failed(now, sent, weight.min(most), silent, jitter);
         // Each of many senders meets too little to find a receiver down; together they would push it over.
+        // One dead endpoint that goes on failing beside sound ones is told from that by its strikes.
+        let found = few && weight == 3 && (new || shared);
+        let weight = if found { STRIKES_OUT } else { weight.min(most) };
+        lane.health.failed(now, sent, weight, silent, jitter);
+        if found && lane.health.since == now {
+            lane.health.next = now + SECOND_LOOK * jitter + turn;
+        }
         let quick = matches!(outcome.verdict, Verdict::ConnectFailed | Verdict::Reset | Verdict::Error);
         if shared && quick && lane.health.struck_at == now {
             lane.paced = lane.paced.max(now + SECOND_LOOK.min(gap) * jitter);
@@ -934,9 +929,8 @@
         let opens = self.lanes.get(&self.lane_of(id)).and_then(|lane| lane.opens(self.settings.slots));
         let held_back = crowded && opens.is_none_or(|opens| opens > self.now);
         let idle = at.calls.is_empty() && (held_back || hold.fresh.is_empty() && hold.ready.is_empty());
-        if idle && (crowded || lost && rare) {
-            self.actions.push(Action::CloseIdle { endpoint: id });
-        }
+        let shut = idle && (crowded || lost && rare);
+        self.actions.extend(shut.then_some(Action::CloseIdle { endpoint: id }));
     }
 
     /// This sender's part of a rate: an equal one, or what it is handed if more, as most have no text for it.
@@ -1033,7 +1027,7 @@
         // Endpoints that none of the texts held may go to, as where only one zone remembers a reference.
         let mut passed = BTreeSet::new();
         for dest in std::mem::take(&mut self.touched) {
-            if self.holds[&dest].gentle {
+            if self.holds[&dest].gentle.is_some() {
                 self.start_gently(dest);
             }
             self.line_up(dest, &passed);
@@ -1064,15 +1058,17 @@
     }
 
     /// Guards against many processes that start at once, each with texts for what is just back and none that
-    /// knows of it. May hold back what was never cold.
+    /// knows of it, also where a text was just out if few can be borne. May hold back what was never cold.
     fn start_gently(&mut self, dest: DestId) {
         for endpoint in self.holds[&dest].endpoints.clone() {
             let (id, since) = (self.lane_of(endpoint), self.now);
-            let next = since + self.turn(id);
-            self.open_lane(id, Health { state: State::Back, since, next, ..Health::default() });
+            if self.holds[&dest].gentle == Some(true) || self.cold_gap(id, since) > SECOND_LOOK {
+                let next = since + self.turn(id);
+                self.open_lane(id, Health { state: State::Back, since, next, ..Health::default() });
+            }
         }
         let hold = self.holds.get_mut(&dest).expect("looked at");
-        hold.gentle = hold.endpoints.is_empty();
+        hold.gentle = hold.gentle.filter(|_| hold.endpoints.is_empty());
     }
 
     /// One call, filled with as many of the texts held as it carries.
@@ -1080,9 +1076,12 @@
         let lane_id = self.lane_of(endpoint);
         self.open_lane(lane_id, Health::default());
         let Endpoint { kind, zone, .. } = self.endpoints[&endpoint];
-        let hold = &self.holds[&dest];
+        let (hold, health, now) = (&self.holds[&dest], &self.lanes[&lane_id].health, self.now);
+        // What is down may have come back this very moment, as cold as it can be.
+        let warm_from = |health: &Health| if health.state == State::Down { now } else { health.since };
+        let lane_gap = self.cold_gap(lane_id, warm_from(health));
         // A trial call most likely leaves its texts in doubt: one is enough, a once-only one last of all.
-        let down = self.lanes[&lane_id].health.state == State::Down;
+        let down = health.state == State::Down;
         let most = if down { 1 } else { self.settings.kinds[kind.0].texts_per_call };
         let takes = |id: &&TextId| {
             let text = &self.texts[*id];
@@ -1096,7 +1095,9 @@
             chosen.extend(tried().find(|id| !once_only(id)).or_else(|| tried().next()));
         } else {
             // A text in doubt that waits behind fresh ones is forgotten by its receiver and can't go again.
-            let fading = hold.fading.range(..(self.now + FADING, TextId(0))).map(|(_, id)| id);
+            // Nor may it wait beyond the next call where those to a cold one are further apart.
+            let next = if health.state == State::Back { lane_gap } else { FADING };
+            let fading = hold.fading.range(..(self.now + FADING.max(next), TextId(0))).map(|(_, id)| id);
             let rest = hold.fresh.iter().rev().chain(hold.ready.iter().rev());
             for id in fading.chain(rest).filter(takes) {
                 // One text that can't be read spoils a call for all that travel with it, again and again.
@@ -1130,9 +1131,6 @@
             text.out = Some(call);
             self.actions.push(Action::Submit { text: id, endpoint, time_out, leave_by });
         }
-        // What is down may have come back this very moment, as cold as it can be.
-        let warm_from = |health: &Health| if health.state == State::Down { self.now } else { health.since };
-        let lane_gap = self.cold_gap(lane_id, warm_from(&self.lanes[&lane_id].health));
         let parts = self.holds[&dest].endpoints.len() as f64;
         let own_gap = self.cold_gap(lane_id, warm_from(&self.endpoints[&endpoint].health)) * parts;
         let at = self.endpoints.get_mut(&endpoint).expect("known");
