Control plane: an unsettled part claims no position of a history that has parted

Need: the rig found lines of a later controller under a position of the earlier one, as the lower of two positions of two histories is neither's; and a first part shown half settled, where nobody needed it yet. Two orders of things rested on no test that could fail: a change answered before the disk has it, a part shown before. Change: the lowest position since the part last settled is what it claims, none if it was told anew; a first part waits up to 30 s.

--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -65,9 +65,8 @@
 struct Capture {
     destinations: BTreeMap<u32, (u64, Arc<str>)>,
     common: Option<(u64, Arc<str>)>,
+    /// Up to where it has all: what the controller said there if it has settled.
     position: Option<Position>,
-    /// It is what the controller said at that position.
-    settled: bool,
     shards: usize,
 }
 
@@ -195,10 +194,12 @@
             disk: Some(disk),
             saving: None,
             unsaved: false,
+            common: None,
             unsettled: None,
             again: None,
         };
         if resumed {
+            actor.common = actor.subscriber.part().position;
             let capture = actor.capture();
             actor.show(capture);
         }
@@ -290,6 +291,9 @@
     saving: Option<Capture>,
     /// What is in force is another than was handed to the disk last.
     unsaved: bool,
+    /// The lowest position that the part has had since it last settled: where histories part it goes back, if only for a
+    /// moment, and what it has afterwards is of both until it settles.
+    common: Option<Position>,
     /// Since when that has waited for the part to be of one position.
     unsettled: Option<Instant>,
     /// A save has failed: it is tried again after this.
@@ -348,6 +352,8 @@
         {
             log::warn!("a line of the relay was refused: {fault}");
         }
+        let position = self.subscriber.part().position;
+        self.common = if self.subscriber.is_settled() { position } else { self.common.min(position) };
         self.unsaved |= in_force;
         if self.again.is_none_or(|at| at <= Instant::now()) {
             self.save();
@@ -355,7 +361,7 @@
         let mut shown = self.board.shown();
         // Nothing waits for the disk: what is shown is what is in force, and may be so as of later.
         if self.saving.is_none() && !self.unsaved && self.subscriber.is_settled() {
-            shown.position = self.subscriber.part().position;
+            shown.position = self.common;
         }
         shown.up = self.subscriber.is_connected();
         shown.refused = self.subscriber.refusals.all();
@@ -369,8 +375,7 @@
         Capture {
             destinations: destinations.collect(),
             common: part.common.clone(),
-            position: part.position,
-            settled: self.subscriber.is_settled(),
+            position: self.common,
             shards: part.shards.len(),
         }
     }
@@ -380,9 +385,7 @@
         let board = Arc::clone(&self.board);
         let mut shown = board.shown();
         (shown.destinations, shown.common) = (capture.destinations, capture.common);
-        // Between two positions it has all up to the one before; after an earlier controller up to where that counted.
-        let position = if capture.settled { capture.position } else { capture.position.min(shown.position) };
-        (shown.position, shown.shards) = (position, capture.shards);
+        (shown.position, shown.shards) = (capture.position, capture.shards);
         // Before a first shard was its own there is no list: a daemon would take one with nobody in it for its word.
         if shown.listing.is_ready() || capture.shards > 0 {
             self.list(&mut shown);
@@ -420,8 +423,9 @@
             self.unsettled = None;
             return;
         }
-        if !self.subscriber.is_settled()
-            && self.unsettled.get_or_insert_with(Instant::now).elapsed() < self.board.limits.settle
+        let limits = &self.board.limits;
+        let within = if self.board.shown().listing.is_ready() { limits.settle } else { limits.settle_first };
+        if !self.subscriber.is_settled() && self.unsettled.get_or_insert_with(Instant::now).elapsed() < within
         {
             return;
         }
--- a/crates/control-plane/src/limits.rs
+++ b/crates/control-plane/src/limits.rs
@@ -38,6 +38,8 @@
     /// A part waits so long at the most until it is what the controller said at one position, which a burst can hold up; then
     /// it is shown as it is, each destination by itself no older than it was.
     pub settle: Duration,
+    /// The same of the first part there is, before which a daemon goes on with what it knows.
+    pub settle_first: Duration,
     /// For a connection to whoever takes notices, and again for the answer. Both together end within the second that a
     /// daemon waits: what it sends again it has not been told was taken.
     pub report_within: Duration,
@@ -68,6 +70,7 @@
             http_idle: Duration::from_secs(90),
             http_body: 1 << 20,
             settle: Duration::from_secs(2),
+            settle_first: Duration::from_secs(30),
             report_within: Duration::from_millis(400),
             hold: Duration::from_secs(60),
             gone: 4096,
--- a/crates/control-plane/tests/carrier/copy.rs
+++ b/crates/control-plane/tests/carrier/copy.rs
@@ -147,6 +147,25 @@
     spoil("log-1", &[line(0), line(1), line(1), line(2), line(3)].concat());
 }
 
+#[test]
+fn lines_of_a_snapshot_that_changed_places_are_damage() {
+    let folder = Folder::new();
+    let path = folder.0.join("state");
+    let mut controller = controller();
+    (0..1200).for_each(|destination| put(&mut controller, destination));
+    let (mut copy, _) = open(&path);
+    copy.replace(controller.replica()).expect("written");
+    drop(copy);
+    let text = fs::read_to_string(path.join("copy")).expect("there");
+    let mut lines: Vec<&str> = text.lines().collect();
+    assert!(lines.len() > 4, "records in several lines");
+    // Two of the log, each whole and sealed, in the other's place.
+    let last = lines.len() - 2;
+    lines.swap(last - 1, last);
+    fs::write(path.join("copy"), lines.join("\n") + "\n").expect("written");
+    assert!(matches!(open(&path).1, Found::Damaged(place) if place.contains("line ")));
+}
+
 #[test]
 fn a_kill_between_any_two_steps_of_a_new_snapshot_leaves_a_whole_copy() {
     let folder = Folder::new();
--- a/crates/control-plane/tests/carrier/processes.rs
+++ b/crates/control-plane/tests/carrier/processes.rs
@@ -1,6 +1,6 @@
 //! Whole fleets: orders, kills, cuts, two controllers, a daemon's questions.
 
-use crate::support::{Fleet, call, get, ids, member, page, secret, until};
+use crate::support::{Fleet, PATIENCE, call, get, hold, ids, member, page, secret, until};
 use indigomast_assignment::wire::{Hello, VERSION, Who, seal_hello};
 use indigomast_control_plane::agent::Agent;
 use indigomast_control_plane::config;
@@ -317,6 +317,30 @@
     fleet.agent_has(4, at);
 }
 
+#[test]
+fn a_change_is_answered_once_the_disk_has_it_and_refused_where_it_fails() {
+    let fleet = Fleet::new(1);
+    let held = hold(&fleet.state(0).join("copy.new"));
+    let (tell, told) = std::sync::mpsc::channel();
+    let address = fleet.addresses[0];
+    let asker = thread::spawn(move || {
+        let answer = order::ask(address, &secret(), &Order::Promote { epoch: 1 }, PATIENCE);
+        tell.send(answer).expect("heard");
+    });
+    // It is the controller, and goes on while the disk waits; but that isn't answered.
+    let status = until("promoted", || Some(fleet.status(0)).filter(|status| status["controller"] == true));
+    assert!(status["on_disk"].is_null(), "{status}");
+    assert!(told.recv_timeout(Duration::from_millis(200)).is_err(), "answered before the disk had it");
+    let read = held.release();
+    let answer = told.recv_timeout(PATIENCE).expect("an answer").expect("sealed");
+    assert!(refused(&answer).starts_with("not on the disk here"), "{answer}");
+    asker.join().expect("asked");
+    read.join().expect("read");
+    // The disk is well again: what is there is written anew, and the next change is answered.
+    until("written", || fleet.status(0)["on_disk"].is_array().then_some(()));
+    fleet.members(0, &[4]);
+}
+
 #[test]
 fn a_damaged_copy_begins_as_a_relay_with_nothing_and_is_told_anew() {
     let mut fleet = served(2);
@@ -328,6 +352,8 @@
     let middle = bytes.len() / 2;
     bytes[middle] ^= 1;
     std::fs::write(&path, bytes).expect("written");
+    // With the epoch it had heard of gone as well, the damage alone has to tell that this is no beginning.
+    std::fs::remove_file(fleet.state(1).join("epoch")).expect("it was kept");
     fleet.stop(0);
     fleet.start(1);
     let status = fleet.status(1);
--- a/crates/control-plane/tests/carrier/settled.rs
+++ b/crates/control-plane/tests/carrier/settled.rs
@@ -1,8 +1,8 @@
 //! What is shown is what the controller said at one position, as far as that doesn't take too long.
 
-use crate::support::{Fleet, Hand, SHARDS, frame, member, secret, taken};
+use crate::support::{Fleet, Hand, SHARDS, frame, hold, member, secret, taken};
 use indigomast_assignment::catalog::{Owners, Position, shard_of};
-use indigomast_assignment::wire::{Hello, Reason, Record, Who, seal_frame};
+use indigomast_assignment::wire::{Hello, Reason, Record, Up, Who, open_up, seal_frame};
 use indigomast_control_plane::limits::Limits;
 use serde_json::json;
 use std::net::TcpListener;
@@ -29,6 +29,16 @@
         self.hand.line(&seal_frame(&secret(), WHO, self.challenge, &frame));
     }
 
+    /// Until it has acknowledged so many frames.
+    fn acknowledged(&mut self, frames: u64) {
+        loop {
+            let line = self.hand.next().expect("an acknowledgement");
+            if open_up(&secret(), WHO, self.challenge, &line).expect("good") == Up::Ack(frames) {
+                return;
+            }
+        }
+    }
+
     /// The connection ends; the next one's first line.
     fn again(&mut self) -> Hello {
         self.hand.shut();
@@ -118,6 +128,87 @@
     assert_eq!(shown["destinations"]["17"]["revision"], 5, "undone");
 }
 
+#[test]
+fn one_that_is_told_anew_by_a_later_controller_claims_no_position_before_it_settles() {
+    let (fleet, mut relay) = told(Duration::from_millis(50));
+    // Older than anything it remembers: nothing is known to go back to.
+    let later = |revision: u64| Position { epoch: 2, revision };
+    relay.say(later(14), at(10), vec![Record::Refused(Reason::Parted(at(3)))]);
+    assert_eq!(relay.again().position, None);
+    let shard = shard_of(17, SHARDS);
+    let records = vec![
+        Record::Begin { base: later(12), whole: true, resumed: false, eras: Vec::new() },
+        Record::Shard(shard, 4, 1, Owners::new(&[4, 5], None)),
+        put(17, 13),
+        Record::End,
+    ];
+    relay.say(later(14), later(12), records);
+    let shown =
+        fleet.agent_until(4, "the whole of it", |shown| shown["destinations"]["17"]["revision"] == 13);
+    assert_eq!(shown["position"], json!(null), "(1, 10) is of the history that has parted");
+    relay.say(later(14), later(14), Vec::new());
+    fleet.agent_until(4, "all", |shown| shown["position"] == json!([2, 14]));
+}
+
+#[test]
+fn a_first_part_waits_until_it_has_settled() {
+    let mut fleet = Fleet::new(0);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    fleet.addresses.push(listener.local_addr().expect("bound"));
+    fleet.limits = Limits { settle: Duration::from_millis(1), ..Limits::default() };
+    fleet.start_agent(4, &[0]);
+    let (hand, hello) = taken(&listener);
+    let mut relay = Relay { listener, hand, challenge: hello.challenge, number: 0 };
+    let shard = shard_of(17, SHARDS);
+    let records = vec![
+        Record::Begin { base: at(10), whole: true, resumed: false, eras: Vec::new() },
+        Record::Shard(shard, 4, 1, Owners::new(&[4, 5], None)),
+        put(17, 12),
+        Record::End,
+    ];
+    relay.say(at(12), at(10), records);
+    relay.say(at(12), at(11), Vec::new());
+    // Both are acknowledged, so both have been taken in; the time for a later part is up.
+    relay.acknowledged(2);
+    assert_eq!(fleet.page(4).0, 503);
+    assert_eq!(fleet.agent_until(4, "nothing", |_| true)["destinations"], json!({}));
+    relay.say(at(12), at(12), Vec::new());
+    fleet.agent_until(4, "all", |shown| shown["position"] == json!([1, 12]));
+    assert_eq!(fleet.page(4).0, 200);
+}
+
+#[test]
+fn nothing_is_shown_before_the_disk_has_it() {
+    let mut fleet = Fleet::new(0);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    fleet.addresses.push(listener.local_addr().expect("bound"));
+    // A disk that takes the part once somebody reads here.
+    let folder = fleet.folder.0.join("agent-4");
+    std::fs::create_dir(&folder).expect("a folder");
+    let held = hold(&folder.join("part.new"));
+    fleet.start_agent(4, &[0]);
+    let (hand, hello) = taken(&listener);
+    let mut relay = Relay { listener, hand, challenge: hello.challenge, number: 0 };
+    let shard = shard_of(17, SHARDS);
+    let records = vec![
+        Record::Begin { base: at(10), whole: true, resumed: false, eras: Vec::new() },
+        Record::Shard(shard, 4, 1, Owners::new(&[4, 5], None)),
+        put(17, 5),
+        Record::End,
+    ];
+    relay.say(at(10), at(10), records);
+    relay.say(at(10), at(10), Vec::new());
+    relay.acknowledged(2);
+    let shown = fleet.agent_until(4, "nothing", |_| true);
+    assert_eq!(
+        (fleet.page(4).0, shown["destinations"].clone(), shown["position"].clone()),
+        (503, json!({}), json!(null))
+    );
+    let read = held.release();
+    fleet.agent_until(4, "all", |shown| shown["position"] == json!([1, 10]));
+    read.join().expect("read");
+}
+
 #[test]
 fn what_has_not_settled_when_its_connection_ends_is_not_shown_while_cut_off() {
     let (fleet, mut relay) = told(Duration::from_millis(200));
--- a/crates/control-plane/tests/carrier/support.rs
+++ b/crates/control-plane/tests/carrier/support.rs
@@ -15,6 +15,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -285,3 +286,18 @@
 pub fn frame(number: u64, at: Position, through: Option<Position>, records: Vec<Record>) -> Frame {
     Frame { version: VERSION, number, at, through, records }
 }
+
+/// A file that holds up whoever writes it, until it is released.
+pub struct Held(PathBuf);
+
+pub fn hold(path: &Path) -> Held {
+    assert!(Command::new("mkfifo").arg(path).status().expect("mkfifo runs").success());
+    Held(path.to_owned())
+}
+
+impl Held {
+    /// Takes what is written; syncing such a file fails, so the writer finds a disk that failed once.
+    pub fn release(self) -> thread::JoinHandle<()> {
+        thread::spawn(move || _ = fs::read(&self.0))
+    }
+}
