Lab: who goes back to a fork has its witness at the fork

Change: of a history that doesn't have the part's position an answer counts from what stood at the fork on. An answer of another controller long after the moment no longer counts at all, which is stricter.

--- a/crates/lab/src/assignment/checker.rs
+++ b/crates/lab/src/assignment/checker.rs
@@ -159,6 +159,15 @@
                 .any(|(epoch, first, end)| *epoch == at.epoch && (*first..*end).contains(&at.revision))
     }
 
+    /// The last revision that both have.
+    fn fork(&self, other: &Lineage) -> u64 {
+        let both = self.eras.iter().flat_map(|(epoch, first, end)| {
+            let same = other.eras.iter().filter(move |(known, from, _)| known == epoch && from == first);
+            same.map(move |(_, _, until)| *end.min(until) - 1)
+        });
+        both.max().unwrap_or(0)
+    }
+
     fn states(&self, shard: u32) -> &[(Position, Lines)] {
         self.states.get(&shard).map_or(&[], Vec::as_slice)
     }
@@ -392,16 +401,20 @@
     /// look after that moment at the controller that the part follows; where that one isn't asked any more, by a while after.
     fn was_owner(&self, part: &PartSeen, shard: u32, is: bool, from: Option<Position>) -> bool {
         let (by_ms, epoch) = (part.at_ms, part.position.map(|at| at.epoch));
-        // A revision of a history that has parted says nothing of when the other one had its own.
+        // Of each history the revision from which on an answer counts: the part's own, or, where that isn't of it, what stood at
+        // the fork.
+        let least: Vec<u64> = self.lineages.iter().map(|lineage| self.least(lineage, from)).collect();
         let after = |at: Position| {
-            from.is_none_or(|from| {
-                let same = self.lineages.iter().any(|lineage| lineage.has(from) && lineage.has(at));
-                at.revision >= from.revision || !same
-            })
+            let mut known = self.lineages.iter().zip(&least);
+            known.any(|(lineage, least)| lineage.has(at) && at.revision >= *least)
         };
         let mut before: BTreeMap<u32, &Vec<u32>> = BTreeMap::new();
         let none = Vec::new();
         for seen in &self.history.owners {
+            let same = epoch.is_none_or(|epoch| epoch == seen.position.epoch);
+            if !same && seen.asked_ms > by_ms + self.bounds.under_way_ms {
+                return false;
+            }
             let owners = seen.owners.get(&shard).unwrap_or(&none);
             let was = before.insert(seen.position.epoch, owners);
             // Who joins is appended: one that stands behind another whom it stood before had gone in between.
@@ -410,14 +423,25 @@
             if (has == is || (!is && rejoined)) && after(seen.position) {
                 return true;
             }
-            let same = epoch.is_none_or(|epoch| epoch == seen.position.epoch);
-            if (seen.asked_ms > by_ms && same) || seen.asked_ms > by_ms + self.bounds.under_way_ms {
+            if same && seen.asked_ms > by_ms {
                 return false;
             }
         }
         false
     }
 
+    fn least(&self, lineage: &Lineage, from: Option<Position>) -> u64 {
+        let Some(from) = from else { return 0 };
+        if lineage.has(from) {
+            return from.revision;
+        }
+        let others = self.lineages.iter().filter(|other| other.has(from));
+        let fork = others.map(|other| lineage.fork(other)).max().unwrap_or(0);
+        let said = self.history.owners.iter().map(|seen| seen.position);
+        let said = said.filter(|at| lineage.has(*at) && at.revision <= fork);
+        said.map(|at| at.revision).max().unwrap_or(0)
+    }
+
     /// Whether a part follows a controller that doesn't count to where nobody has asked it for owners: what it said of them
     /// there is known to nobody.
     fn is_unwitnessed(&self, part: &PartSeen) -> bool {
--- a/crates/lab/tests/assignment_checker.rs
+++ b/crates/lab/tests/assignment_checker.rs
@@ -438,6 +438,37 @@
     sound(&case.end(1000.0));
 }
 
+/// It goes back to where the histories parted, at which the shard wasn't its own, although the newer controller gives it the
+/// shard again at once: a relay's answer from before the fork is the witness. Had the shard been its own there, nobody took it.
+#[test]
+fn a_shard_that_goes_back_to_the_fork_has_its_witness_there() {
+    for (own, breach) in [(false, vec![]), (true, vec![Breach::LostShard])] {
+        let mut case = Case::new();
+        let (shard, ..) = pair(0);
+        let without = case.due(2);
+        if own {
+            case.owners.insert(shard, vec![0, 1, 2]);
+            case.owners(200.0);
+            case.look(210.0);
+        }
+        case.owners(300.0);
+        let fork = case.revision;
+        case.owners.insert(shard, vec![0, 1, 2]);
+        case.revision = fork + 50;
+        case.owners(500.0);
+        let gained = case.due(2);
+        case.part(600.0, 2, gained);
+        case.promote(700.0, 1, 2, fork + 1, 1);
+        case.owners(720.0);
+        case.part(800.0, 2, without).position = Some(at(1, fork));
+        case.look(900.0);
+        case.owners.insert(shard, vec![0, 1]);
+        case.owners(2000.0);
+        let verdict = case.end(2100.0);
+        assert_eq!(breaches(&verdict), breach, "{:#?}", verdict.accusations);
+    }
+}
+
 /// Cut off from all, nothing may change, over a restart as well; in force is the last word.
 #[test]
 fn a_sender_cut_off_keeps_its_last_word() {
