Discovery: the lost packet is seen at once, whatever the table of connections costs

Cause: the test saw the first packet's loss in the table of all connections. Where a look took long, room was made only when the second packet, 300 ms later, was lost too, and the connection came a second after the first by the system's own repeat. Where it was later still, that repeat passed for the sender's. Change: the count of what full listeners dropped is watched, room is made at once, and the table confirms beside that whose packet it was. The time is counted from the last moment before the loss. Tried again is only what shows nothing: another listener's loss, or room that came later than 250 ms. The bound of 750 ms stays. A test's client goes on reading where its read was broken off.

--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -456,10 +456,20 @@
                     if let Some(body) = body {
                         return (head.status, String::from_utf8(body).expect("text"));
                     }
-                    assert_ne!(self.ring.fill(&mut self.stream).expect("readable"), 0, "half an answer");
+                    assert_ne!(self.read_more(), 0, "half an answer");
                 }
             }
-            assert_ne!(self.ring.fill(&mut self.stream).expect("readable"), 0, "no answer");
+            assert_ne!(self.read_more(), 0, "no answer");
+        }
+    }
+
+    /// Reads on where the system broke a read off, as it does when the test itself was stopped meanwhile.
+    fn read_more(&mut self) -> usize {
+        loop {
+            match self.ring.fill(&mut self.stream) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                read => return read.expect("readable"),
+            }
         }
     }
 
--- a/crates/sender/tests/sender/discovery.rs
+++ b/crates/sender/tests/sender/discovery.rs
@@ -110,10 +110,37 @@
     first
 }
 
+/// How many first packets all listeners that were full have dropped. Read at once, where the table above takes a while.
+fn dropped() -> u64 {
+    let counts = std::fs::read_to_string("/proc/net/netstat").expect("a system that counts");
+    let mut lines = counts.lines().filter(|line| line.starts_with("TcpExt:"));
+    let (names, values) = (lines.next().expect("names"), lines.next().expect("values"));
+    let named = names.split(' ').zip(values.split(' ')).find(|(name, _)| *name == "ListenOverflows");
+    named.and_then(|(_, value)| value.parse().ok()).expect("a count of those")
+}
+
+/// Once a first packet was lost the sender sends another 300 ms later, for which there has to be room within the one; the other
+/// is less than the second by which the system would send the first again.
+const ROOM: Duration = Duration::from_millis(250);
+const CONNECTED: Duration = Duration::from_millis(750);
+
 /// A watch that fell silent is given up 5.2 s after it was asked, and what it missed counts as told 0.8 s later. The first
 /// packet of its new connection is dropped here, by a listener that is full; the system sends it again after a second.
 #[test]
 fn a_first_packet_that_is_lost_behind_a_watch_costs_no_second() {
+    let by = Instant::now() + 3 * PATIENCE;
+    let took = loop {
+        assert!(Instant::now() < by, "never was just the first packet seen to be lost");
+        if let Some(took) = connected_after_a_lost_packet() {
+            break took;
+        }
+    };
+    assert!(took < CONNECTED, "connected {took:?} after the packet was lost");
+}
+
+/// How long after the first packet of a connection was lost it came about, at the most. None where that can't be told: another
+/// listener's loss was taken for this one's, or this program came late, and the second packet may have been lost as well.
+fn connected_after_a_lost_packet() -> Option<Duration> {
     let (_endpoint, _discovery, mut config, folder) = world();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listen(&listener, 0).expect("it listens");
@@ -123,16 +150,26 @@
     let (watch, _) = listener.accept().expect("a watch");
     assert!(head(&watch).contains("from=41&hold_ms="));
     let _fills = TcpStream::connect(address).expect("there is room for one");
+    let (by, none) = (Instant::now() + PATIENCE, dropped());
+    // It had not been lost by then.
+    let mut before = Instant::now();
     drop(watch);
-    let by = Instant::now() + PATIENCE;
-    while unanswered(address.port()) == 0 {
-        assert!(Instant::now() < by, "no new connection");
+    loop {
+        let looked = Instant::now();
+        if dropped() != none {
+            break;
+        }
+        before = looked;
+        assert!(looked < by, "no new connection");
         thread::sleep(Duration::from_millis(1));
     }
-    let lost = Instant::now();
     let _room = listener.accept().expect("what filled it");
+    let in_time = before.elapsed() < ROOM;
+    // Beside it, as the look takes its time.
+    let look = thread::spawn(move || unanswered(address.port()) > 0);
     let (watch, _) = listener.accept().expect("a new connection");
-    let took = lost.elapsed();
+    let took = before.elapsed();
+    let lost = look.join().expect("it looks");
     assert!(head(&watch).contains("from=41&hold_ms="));
-    assert!(took < Duration::from_millis(750), "connected {took:?} after the packet was lost");
+    (lost && (took < CONNECTED || in_time)).then_some(took)
 }
