Rollout: a step of the controller walks over no contacts but those that are due

Need: beside the steering the controller looked at all contacts at each step, for who is late, mute or to be asked. keep steps it whenever an answer comes: with 16,000 senders that answer twice a second each, one by one, that is several cores.

Change: contacts lie in sets ordered by when something is due of each: asked last, heard last, silent, and from how many texts of all one may pass for mute. The conditions themselves are as before. The role `rollout` also counts an answer that comes alone.

Tests of rollout, keep and scale passed unchanged.

--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -5,6 +5,7 @@
 use crate::plan::Plan;
 use crate::steering::{Action, Bounds, Entry, Event, Phase, Steering, Verdict};
 use indigomast::time::{Moment, Span};
+use std::collections::BTreeSet;
 
 /// How often each sender is asked, and after how long without an answer it counts as silent.
 pub const ASKED_EVERY: Span = Span::millis(500);
@@ -50,7 +51,6 @@
 
 #[derive(Clone, Debug)]
 struct Contact {
-    asked: Option<Moment>,
     heard: Option<Moment>,
     silent: bool,
     /// When an order was last sent that may be under way; from the start on, for those of an earlier life.
@@ -65,11 +65,34 @@
     all_before: u64,
 }
 
+impl Contact {
+    /// All have to have had so many texts before this one may pass for mute, or one fewer; None if nothing is known of it.
+    fn mute_from(&self) -> Option<u64> {
+        let part = self.own_before as f64 / self.all_before.max(1) as f64;
+        let texts = (MUTE_TEXTS / part).floor() as u64;
+        (self.own_before >= KNOWN_TEXTS).then(|| self.all.saturating_add(texts).saturating_sub(1))
+    }
+}
+
+/// Contacts in the order in which something is due of them: an answer of one must not cost a walk over all.
+#[derive(Clone, Debug, Default)]
+struct Due {
+    /// By when each was asked last.
+    asked: BTreeSet<(Moment, usize)>,
+    /// By when it was heard of last, those that aren't silent.
+    heard: BTreeSet<(Moment, usize)>,
+    silent: BTreeSet<usize>,
+    /// By [`Contact::mute_from`].
+    mute: BTreeSet<(u64, usize)>,
+}
+
 pub struct Controller {
     plan: Plan,
     pub steering: Steering,
     pub comparison: Comparison,
     contacts: Vec<Contact>,
+    due: Due,
+    last_stage: usize,
     compared: Option<usize>,
     stage_began: Moment,
     settled: Option<Moment>,
@@ -83,7 +106,6 @@
         let bounds = Bounds { away: limits.away, after_halt: limits.after_halt, unclear: limits.unclear };
         let (steering, actions) = Steering::begin(bounds, &plan.members(), entries);
         let contact = Contact {
-            asked: None,
             heard: None,
             silent: false,
             sent: now,
@@ -97,6 +119,12 @@
         let mut controller = Controller {
             comparison: Comparison::new(plan.compare),
             contacts: vec![contact; plan.senders.len()],
+            due: Due {
+                asked: (0..plan.senders.len()).map(|member| (Moment::default(), member)).collect(),
+                heard: (0..plan.senders.len()).map(|member| (Moment::default(), member)).collect(),
+                ..Due::default()
+            },
+            last_stage: plan.senders.iter().map(|sender| sender.stage).max().unwrap_or(0),
             compared: None,
             stage_began: now,
             settled: None,
@@ -139,12 +167,16 @@
         self.watch_contacts(now, &mut outputs);
         self.judge(now, &mut outputs);
         let epoch = self.steering.epoch();
-        for (member, contact) in self.contacts.iter_mut().enumerate() {
-            if contact.asked.is_none_or(|asked| now.since(asked) >= ASKED_EVERY) {
-                contact.asked = Some(now);
-                outputs.push(Output::Ask { member, epoch });
-            }
+        let mut asked = Vec::new();
+        while let Some((at, member)) = self.due.asked.first().copied()
+            && now.since(at) >= ASKED_EVERY
+        {
+            self.due.asked.pop_first();
+            asked.push(member);
         }
+        asked.sort_unstable();
+        self.due.asked.extend(asked.iter().map(|member| (now, *member)));
+        outputs.extend(asked.into_iter().map(|member| Output::Ask { member, epoch }));
         outputs
     }
 
@@ -172,6 +204,10 @@
         outputs: &mut Vec<Output>,
     ) {
         let contact = &mut self.contacts[member];
+        self.due.silent.remove(&member);
+        self.due.heard.remove(&(contact.heard.unwrap_or_default(), member));
+        self.due.heard.insert((now, member));
+        let mute_from = contact.mute_from();
         (contact.heard, contact.silent) = (Some(now), false);
         if let (Some(counts), Some(side), true) = (counts, status.running, status.serving) {
             let texts =
@@ -194,6 +230,11 @@
             // Its time begins when it serves.
             (contact.grew, contact.all) = (now, self.all_texts);
         }
+        let now_from = self.contacts[member].mute_from();
+        if now_from != mute_from {
+            mute_from.map(|from| self.due.mute.remove(&(from, member)));
+            now_from.map(|from| self.due.mute.insert((from, member)));
+        }
         self.tell(Event::Told(member, status), outputs);
     }
 
@@ -211,11 +252,16 @@
 
     fn watch_contacts(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let lapse = self.lapse();
-        for member in 0..self.contacts.len() {
+        let late = self.due.heard.iter().take_while(|(heard, _)| now.since(*heard) >= SILENT);
+        let mut members: Vec<usize> = late.map(|(_, member)| *member).collect();
+        members.extend(&self.due.silent);
+        members.sort_unstable();
+        for member in members {
             let contact = &mut self.contacts[member];
-            let late = contact.heard.is_none_or(|heard| now.since(heard) >= SILENT);
-            if late && !contact.silent {
+            if !contact.silent {
                 contact.silent = true;
+                self.due.heard.remove(&(contact.heard.unwrap_or_default(), member));
+                self.due.silent.insert(member);
                 self.tell(Event::Silent(member), outputs);
             }
             let contact = &self.contacts[member];
@@ -240,6 +286,8 @@
             for contact in &mut self.contacts {
                 (contact.grew, contact.all) = (now, self.all_texts);
             }
+            let from = self.contacts.iter().enumerate();
+            self.due.mute = from.filter_map(|(at, contact)| Some((contact.mute_from()?, at))).collect();
         }
         self.comparison.look(now);
         if !self.steering.is_settled() {
@@ -251,7 +299,7 @@
         let lasted = self.settled.is_some_and(|since| now.since(since) >= terms.least);
         let enough = lasted && self.comparison.new_texts >= terms.least_texts;
         // With nobody left to compare with, time alone has to do.
-        let alone = self.plan.senders.iter().all(|sender| sender.stage <= stage);
+        let alone = self.last_stage <= stage;
         let verdict = match (self.mute(now), self.comparison.outcome()) {
             (Some(mute), _) => Some(Verdict::Worse(mute)),
             (None, Outcome::Worse(what)) => Some(Verdict::Worse(what)),
@@ -269,7 +317,8 @@
 
     /// One that says that it serves and takes nothing, while others do.
     fn mute(&self, now: Moment) -> Option<String> {
-        let at = (0..self.contacts.len()).find(|at| {
+        let due = self.due.mute.range(..=(self.all_texts, usize::MAX));
+        let mute = due.map(|(_, at)| *at).filter(|at| {
             let (contact, told) = (&self.contacts[*at], self.steering.told(*at));
             let part = contact.own_before as f64 / contact.all_before.max(1) as f64;
             let expected = part * self.all_texts.saturating_sub(contact.all) as f64;
@@ -277,7 +326,8 @@
                 && contact.own_before >= KNOWN_TEXTS
                 && now.since(contact.grew) >= MUTE
                 && expected >= MUTE_TEXTS
-        })?;
+        });
+        let at = mute.min()?;
         Some(format!("sender {} says that it serves and takes nothing", self.plan.senders[at].name))
     }
 
--- a/crates/scale/src/roles/rollout.rs
+++ b/crates/scale/src/roles/rollout.rs
@@ -53,11 +53,14 @@
                 (agent, None)
             })
             .collect();
-        let mut inputs = vec![Input::ByHand(Event::Begin)];
+        let (mut inputs, mut last) = (vec![Input::ByHand(Event::Begin)], Vec::new());
         let (mut bytes, mut lines, mut orders) = (0, 0, 0);
         let (mut steered, mut sealed, mut obeyed) = (0.0, 0.0, 0.0);
         let mut number = 0u64;
         for _ in 0..SECONDS * 10 {
+            if !inputs.is_empty() {
+                last.clone_from(&inputs);
+            }
             let start = meter.mark();
             let outputs = controller.step(now, std::mem::take(&mut inputs));
             steered += meter.micros_since(start);
@@ -124,6 +127,12 @@
                 }
             }
         }
+        // Where answers come one by one and not some hundreds with each step.
+        let (answers, start) = (last.len(), meter.mark());
+        for input in last {
+            controller.step(now, vec![input]);
+        }
+        let alone = meter.micros_since(start) / answers.max(1) as f64;
         let seconds = SECONDS as f64;
         let each = |micros: f64| micros / seconds / size as f64;
         let controller_bytes = meter.bytes_since(before) - agents_bytes(size);
@@ -136,6 +145,7 @@
             Reading::heap("controller's memory", controller_bytes),
             Reading::micros("plan read", parsed),
             Reading::micros("controller: decisions a second", steered / seconds),
+            Reading::each("controller: decisions on an answer that comes alone", alone),
             Reading::micros("controller: lines sealed and opened a second", sealed / seconds),
             Reading::each("agent: micros a second", each(obeyed)),
         ])
