A referenced text in doubt is nacked only if its receiver will still remember it

Cause: `give_up` held a nack for harmless whenever the receiver's memory spans zones, also as that memory ended: a client who came back as it was told to had the text run twice. Change: such a text is nacked if the time named to its client lies before the end of the memory, else it is undeliverable.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -633,16 +633,18 @@
 
     fn give_up(&mut self, id: TextId) {
         let text = &self.texts[&id];
+        let lanes = self.lanes.range((text.dest, None)..=(text.dest, Some(EndpointId(usize::MAX))));
+        let until = lanes.filter_map(|(_, lane)| Some(lane.health.opens(0)?.max(lane.wait_until))).min();
+        let wait = until.map_or(Span::ZERO, |until| until.since(self.now));
+        let advice = self.settings.longest_advice.map(|most| wait.max(FIRST_PAUSE).min(most));
+        // Whoever comes back later than the receiver remembers would have it run twice.
+        let back = self.now + advice.unwrap_or(FIRST_PAUSE);
         let harmless = match self.repeat(text) {
             Repeat::Resendable => true,
-            Repeat::Referenced { one_zone, .. } => text.doubt.is_none() || !one_zone,
-            Repeat::OnceOnly => text.doubt.is_none(),
+            Repeat::Referenced { one_zone: true, .. } | Repeat::OnceOnly => text.doubt.is_none(),
+            Repeat::Referenced { .. } => self.memory_ends(text).is_none_or(|end| back < end),
         };
         if harmless && text.out.is_none() {
-            let lanes = self.lanes.range((text.dest, None)..=(text.dest, Some(EndpointId(usize::MAX))));
-            let until = lanes.filter_map(|(_, lane)| Some(lane.health.opens(0)?.max(lane.wait_until))).min();
-            let wait = until.map_or(Span::ZERO, |until| until.since(self.now));
-            let advice = self.settings.longest_advice.map(|most| wait.max(FIRST_PAUSE).min(most));
             self.actions.push(Action::Nack { text: id, come_back_after: advice });
         } else {
             self.actions.push(Action::Undeliverable { text: id });
