Control plane: a held file of the tests is let go when its test fails

Need: a test that fails while it holds a disk up would wait for ever for the writer to end. Change: the pipe is read when it is dropped.

--- a/crates/control-plane/tests/carrier/support.rs
+++ b/crates/control-plane/tests/carrier/support.rs
@@ -287,17 +287,27 @@
     Frame { version: VERSION, number, at, through, records }
 }
 
-/// A file that holds up whoever writes it, until it is released.
-pub struct Held(PathBuf);
+/// A file that holds up whoever writes it, until it is released or dropped.
+pub struct Held(Option<PathBuf>);
 
 pub fn hold(path: &Path) -> Held {
     assert!(Command::new("mkfifo").arg(path).status().expect("mkfifo runs").success());
-    Held(path.to_owned())
+    Held(Some(path.to_owned()))
 }
 
 impl Held {
     /// Takes what is written; syncing such a file fails, so the writer finds a disk that failed once.
-    pub fn release(self) -> thread::JoinHandle<()> {
-        thread::spawn(move || _ = fs::read(&self.0))
+    pub fn release(mut self) -> thread::JoinHandle<()> {
+        let path = self.0.take().expect("held");
+        thread::spawn(move || _ = fs::read(path))
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        // A test that fails must not wait for ever for the writer to end.
+        if let Some(path) = self.0.take() {
+            thread::spawn(move || _ = fs::read(path));
+        }
     }
 }
