--- a/crates/lab/src/assignment/checker.rs
+++ b/crates/lab/src/assignment/checker.rs
@@ -400,7 +400,7 @@
     /// Whether some controller was seen to say that a sender owns a shard, or doesn't, from this position on and by the first
     /// look after that moment at the controller that the part follows; where that one isn't asked any more, by a while after.
     fn was_owner(&self, part: &PartSeen, shard: u32, is: bool, from: Option<Position>) -> bool {
-        let (by_ms, epoch) = (part.at_ms, part.position.map(|at| at.epoch));
+        let by_ms = part.at_ms;
         // Of each history the revision from which on an answer counts: the part's own, or, where that isn't of it, what stood at
         // the fork.
         let least: Vec<u64> = self.lineages.iter().map(|lineage| self.least(lineage, from)).collect();
@@ -411,8 +411,11 @@
         let mut before: BTreeMap<u32, &Vec<u32>> = BTreeMap::new();
         let none = Vec::new();
         for seen in &self.history.owners {
-            let same = epoch.is_none_or(|epoch| epoch == seen.position.epoch);
-            if !same && seen.asked_ms > by_ms + self.bounds.under_way_ms {
+            // A relay that knows less than the part is no witness of the last of it.
+            let as_new = part
+                .position
+                .is_none_or(|at| at.epoch == seen.position.epoch && seen.position.revision >= at.revision);
+            if !as_new && seen.asked_ms > by_ms + self.bounds.under_way_ms {
                 return false;
             }
             let owners = seen.owners.get(&shard).unwrap_or(&none);
@@ -423,7 +426,7 @@
             if (has == is || (!is && rejoined)) && after(seen.position) {
                 return true;
             }
-            if same && seen.asked_ms > by_ms {
+            if as_new && seen.asked_ms > by_ms {
                 return false;
             }
         }
--- a/crates/lab/tests/assignment_checker.rs
+++ b/crates/lab/tests/assignment_checker.rs
@@ -438,6 +438,30 @@
     sound(&case.end(1000.0));
 }
 
+/// A relay that stands behind says, just after, that the owners are as they were: it doesn't know better.
+#[test]
+fn a_relay_that_stands_behind_is_no_witness() {
+    for (moved, breach) in [(true, vec![]), (false, vec![Breach::LostShard])] {
+        let mut case = Case::new();
+        let (shard, ..) = pair(0);
+        case.owners(400.0);
+        let behind = case.revision;
+        let mut lines = case.due(0);
+        lines.retain(|destination, _| shard_of(*destination, SHARDS) != shard);
+        case.revision += 10;
+        case.part(500.0, 0, lines).position = Some(at(1, case.revision));
+        let (position, owners, asked_ms, at_ms) = (at(1, behind), case.owners.clone(), 550.0, 560.0);
+        case.history.owners.push(OwnersSeen { asked_ms, at_ms, until_ms: at_ms, position, owners });
+        if moved {
+            case.owners.insert(shard, vec![1, 2]);
+        }
+        case.owners(700.0);
+        case.look(800.0);
+        let verdict = case.end(1000.0);
+        assert_eq!(breaches(&verdict), breach, "{:#?}", verdict.accusations);
+    }
+}
+
 /// It goes back to where the histories parted, at which the shard wasn't its own, although the newer controller gives it the
 /// shard again at once: a relay's answer from before the fork is the witness. Had the shard been its own there, nobody took it.
 #[test]
