Lab: whoever goes on from a controller's copy is a witness of it

Change: the first answer after a part was seen counts that is of its history and as new, whenever it comes; all others count for a second.

--- a/crates/lab/src/assignment/checker.rs
+++ b/crates/lab/src/assignment/checker.rs
@@ -398,7 +398,7 @@
     }
 
     /// Whether some controller was seen to say that a sender owns a shard, or doesn't, from this position on and by the first
-    /// look after that moment at the controller that the part follows; where that one isn't asked any more, by a while after.
+    /// answer after that moment that is as new as the part; of others, those that were given no more than a while after.
     fn was_owner(&self, part: &PartSeen, shard: u32, is: bool, from: Option<Position>) -> bool {
         let by_ms = part.at_ms;
         // Of each history the revision from which on an answer counts: the part's own, or, where that isn't of it, what stood at
@@ -411,12 +411,14 @@
         let mut before: BTreeMap<u32, &Vec<u32>> = BTreeMap::new();
         let none = Vec::new();
         for seen in &self.history.owners {
-            // A relay that knows less than the part is no witness of the last of it.
-            let as_new = part
-                .position
-                .is_none_or(|at| at.epoch == seen.position.epoch && seen.position.revision >= at.revision);
+            // A relay that knows less than the part is no witness of the last of it; whoever goes on from there is, also later.
+            let as_new = part.position.is_none_or(|at| {
+                let mut of_both =
+                    self.lineages.iter().filter(|known| known.has(at) && known.has(seen.position));
+                of_both.next().is_some() && seen.position.revision >= at.revision
+            });
             if !as_new && seen.asked_ms > by_ms + self.bounds.under_way_ms {
-                return false;
+                continue;
             }
             let owners = seen.owners.get(&shard).unwrap_or(&none);
             let was = before.insert(seen.position.epoch, owners);
--- a/crates/lab/tests/assignment_checker.rs
+++ b/crates/lab/tests/assignment_checker.rs
@@ -462,6 +462,28 @@
     }
 }
 
+/// It moved a shard and was killed before anybody asked; the next controller goes on from its copy, and is asked seconds later.
+#[test]
+fn whoever_goes_on_from_there_is_a_witness_later() {
+    for (moved, breach) in [(true, vec![]), (false, vec![Breach::LostShard])] {
+        let mut case = Case::new();
+        let (shard, ..) = pair(0);
+        case.owners(400.0);
+        let mut lines = case.due(0);
+        lines.retain(|destination, _| shard_of(*destination, SHARDS) != shard);
+        case.revision += 5;
+        case.part(500.0, 0, lines).position = Some(at(1, case.revision));
+        case.promote(4000.0, 1, 2, case.revision + 1, 1);
+        if moved {
+            case.owners.insert(shard, vec![1, 2]);
+        }
+        case.owners(4500.0);
+        case.look(4600.0);
+        let verdict = case.end(5000.0);
+        assert_eq!(breaches(&verdict), breach, "{:#?}", verdict.accusations);
+    }
+}
+
 /// It goes back to where the histories parted, at which the shard wasn't its own, although the newer controller gives it the
 /// shard again at once: a relay's answer from before the fork is the witness. Had the shard been its own there, nobody took it.
 #[test]
@@ -485,6 +507,8 @@
         case.promote(700.0, 1, 2, fork + 1, 1);
         case.owners(720.0);
         case.part(800.0, 2, without).position = Some(at(1, fork));
+        // Somebody asked soon after.
+        case.owners(850.0);
         case.look(900.0);
         case.owners.insert(shard, vec![0, 1]);
         case.owners(2000.0);
