Control plane: a held file is let go before the folder it lies in is gone

Need: the pipe was read by a thread of its own, which a failing test's folder could be gone before; the run then hung. Seen with "shown before it is saved" put in by hand. Change: the pipe is opened both ways as it is dropped.

--- a/crates/control-plane/tests/carrier/support.rs
+++ b/crates/control-plane/tests/carrier/support.rs
@@ -305,9 +305,12 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        // A test that fails must not wait for ever for the writer to end.
-        if let Some(path) = self.0.take() {
-            thread::spawn(move || _ = fs::read(path));
+        // A test that fails must not wait for ever for the writer to end. Opened both ways a pipe waits for nobody, and it
+        // stays open, before the folder it lies in is gone.
+        if let Some(path) = self.0.take()
+            && let Ok(file) = fs::File::options().read(true).write(true).open(path)
+        {
+            std::mem::forget(file);
         }
     }
 }
