Control plane: a part is held back for 6 s until it is of one position, where it was 2

Change: 6 s, in which 8.6 KB pass with nothing saved up, and which leave four of the 10 s in which a change is to be in force.

--- a/crates/control-plane/src/limits.rs
+++ b/crates/control-plane/src/limits.rs
@@ -36,7 +36,8 @@
     /// Bytes of a report.
     pub http_body: usize,
     /// A part waits so long at the most until it is what the controller said at one position, which a burst can hold up; then
-    /// it is shown as it is, each destination by itself no older than it was.
+    /// it is shown as it is, each destination by itself no older than it was. Long enough for what a first load adds to a part
+    /// to pass by its budget (12.7 KB), short of the 10 s in which a change is to be in force.
     pub settle: Duration,
     /// The same of the first part there is, before which a daemon goes on with what it knows.
     pub settle_first: Duration,
@@ -69,7 +70,7 @@
             http_connections: 64,
             http_idle: Duration::from_secs(90),
             http_body: 1 << 20,
-            settle: Duration::from_secs(2),
+            settle: Duration::from_secs(6),
             settle_first: Duration::from_secs(30),
             report_within: Duration::from_millis(400),
             hold: Duration::from_secs(60),
--- a/crates/control-plane/tests/carrier/settled.rs
+++ b/crates/control-plane/tests/carrier/settled.rs
@@ -1,6 +1,7 @@
 //! What is shown is what the controller said at one position, as far as that doesn't take too long.
 
 use crate::support::{Fleet, Hand, SHARDS, frame, hold, member, secret, taken};
+use indigomast_assignment::budget;
 use indigomast_assignment::catalog::{Owners, Position, shard_of};
 use indigomast_assignment::wire::{Hello, Reason, Record, Up, Who, open_up, seal_frame};
 use indigomast_control_plane::limits::Limits;
@@ -93,6 +94,15 @@
     assert_eq!(after.1["revision"].as_u64(), page.1["revision"].as_u64().map(|known| known + 1));
 }
 
+/// Guards against a part shown between two positions since what it grew by in a first load, 5 KB of it, had not passed yet.
+#[test]
+fn a_part_is_held_back_for_what_grows_it_and_no_longer_than_a_change_may_take() {
+    let settle = Limits::default().settle;
+    let passes = budget::SENDER.rate * settle.as_secs_f64();
+    assert!(passes >= 1.5 * 5_000.0, "{passes} bytes pass with the bucket empty at the start");
+    assert!(settle <= Duration::from_secs(8), "two seconds are left for the way: {settle:?}");
+}
+
 #[test]
 fn one_that_does_not_settle_is_shown_after_a_while_at_the_position_before() {
     let (fleet, mut relay) = told(Duration::from_millis(50));
