--- a/crates/assignment/src/controller.rs
+++ b/crates/assignment/src/controller.rs
@@ -8,7 +8,7 @@
 use crate::catalog::{Change, Key, Owners, Replica, Settings, check_body};
 use crate::placement::{Imbalance, Place, Placement};
 use crate::publisher::{self, Heard, Publisher};
-use crate::wire::{Fault, Hello, Peer, Record, Refusals, VERSION, Who, seal_hello};
+use crate::wire::{Fault, Peer, Record, Refusals, seal_announcement};
 use indigomast::time::{Moment, Span};
 use indigomast_rollout::wire::Secret;
 use std::sync::Arc;
@@ -202,19 +202,7 @@
         }
         if now.since(self.announced) >= ANNOUNCE {
             self.announced = now;
-            let hello = Hello {
-                version: VERSION,
-                who: Who::Controller(self.number),
-                challenge: 0,
-                epoch: self.epoch,
-                position: None,
-                seen: None,
-                held: Vec::new(),
-                taken: None,
-                suspects: Vec::new(),
-                credit: 0,
-            };
-            let line = seal_hello(&self.secret, &hello);
+            let line = seal_announcement(&self.secret, self.number, self.epoch);
             out.extend(
                 self.others.iter().map(|other| Action::Announce { controller: *other, line: line.clone() }),
             );
--- a/crates/assignment/src/wire.rs
+++ b/crates/assignment/src/wire.rs
@@ -257,6 +257,23 @@
     Err(Fault::new(Kind::Version, "version", format!("{version}, this is {VERSION}")))
 }
 
+/// What a controller says to be known to other controllers and to relays: only that it is there, with its epoch.
+pub fn seal_announcement(secret: &Secret, controller: u32, epoch: u32) -> String {
+    let hello = Hello {
+        version: VERSION,
+        who: Who::Controller(controller),
+        challenge: 0,
+        epoch,
+        position: None,
+        seen: None,
+        held: Vec::new(),
+        taken: None,
+        suspects: Vec::new(),
+        credit: 0,
+    };
+    seal_hello(secret, &hello)
+}
+
 pub fn seal_hello(secret: &Secret, hello: &Hello) -> String {
     secret.seal(Way::FromAgent, &hello.who.name(None), hello)
 }
--- a/crates/control-plane/src/control.rs
+++ b/crates/control-plane/src/control.rs
@@ -19,7 +19,7 @@
 use indigomast_assignment::placement;
 use indigomast_assignment::publisher;
 use indigomast_assignment::relay::{self, Relay};
-use indigomast_assignment::wire::{Fault, Hello, Kind, Refusals, VERSION, Who, open_hello, seal_hello};
+use indigomast_assignment::wire::{Fault, Kind, Refusals, Who, open_hello, seal_announcement};
 use indigomast_rollout::wire::Secret;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -188,7 +188,7 @@
         };
         if actor.epochs.highest() > 0 {
             // The relay obeys none of an earlier epoch; who has this one isn't known any more.
-            let line = announcement(&actor.secret, u32::MAX, actor.epochs.highest());
+            let line = seal_announcement(&actor.secret, u32::MAX, actor.epochs.highest());
             actor.step_relay(relay::Event::Announced(&line));
         }
         let actor = thread::Builder::new()
@@ -725,7 +725,7 @@
         self.controller = Some(controller.beside(others).numbered(self.config.number));
         log::info!("controller of epoch {epoch} from here on");
         // Its own relay leaves an earlier one without waiting to be told by others.
-        let line = announcement(&self.secret, self.config.number, epoch);
+        let line = seal_announcement(&self.secret, self.config.number, epoch);
         self.step_relay(relay::Event::Announced(&line));
         Ok(())
     }
@@ -869,23 +869,6 @@
     }
 }
 
-/// What a controller says to be known, for a relay of its own process.
-fn announcement(secret: &Secret, number: u32, epoch: u32) -> String {
-    let hello = Hello {
-        version: VERSION,
-        who: Who::Controller(number),
-        challenge: 0,
-        epoch,
-        position: None,
-        seen: None,
-        held: Vec::new(),
-        taken: None,
-        suspects: Vec::new(),
-        credit: 0,
-    };
-    seal_hello(secret, &hello)
-}
-
 /// Says why a line was refused, if one was.
 fn note(whose: &str, refusals: &Refusals, before: u64) {
     if refusals.all() > before
