--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -274,6 +274,11 @@
         Daemon::begin(command, socket.local_addr().expect("bound"))
     }
 
+    /// Started in a way of the test's own.
+    pub fn start_by(command: Command) -> Daemon {
+        Daemon::of(command)
+    }
+
     fn of(command: Command) -> Daemon {
         let mut daemon = Daemon::begin(command, ([127, 0, 0, 1], 0).into());
         let line = daemon.line_with("listens on ");
--- /dev/null
+++ b/crates/sender/tests/sender/failing_calls.rs
@@ -0,0 +1,126 @@
+//! System calls fail for a moment, each in the ways that Linux documents for it.
+
+use crate::common::*;
+use crate::faults::errno::{EIO, ENOSPC};
+use crate::faults::{ACCEPT, CONNECT, Call, Plan, SOCKET};
+use crate::witness::{Saw, Witness, ask, hand_in_until_taken};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Connections are open and about to carry their first request; accept fails for 1.5 s. Each request that is written has
+/// its answer: that no other connection can be taken is no reason to end these.
+fn answers_while_accept_fails(numbers: &[i32]) {
+    let (witness, folder) = (Witness::new(2, false), Folder::new());
+    let plan = Plan::new(&folder);
+    let daemon = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+    let mut rested = daemon.client();
+    assert_eq!(ask(&mut rested, &text("free", "rested", 0, "k", b"hello")), Saw::Answer(202));
+    let fresh: Vec<Client> = (0..30).map(|_| daemon.client()).collect();
+    while daemon.counter("connections") < 32 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    plan.fails(Call::Accept, 1000, numbers);
+    // Whoever comes now wakes the thread that accepts, which fails again and again.
+    let waiting: Vec<Client> = (0..3).map(|_| daemon.client()).collect();
+    let begun = Instant::now();
+    for (at, mut client) in fresh.into_iter().enumerate() {
+        thread::sleep(Duration::from_millis(40));
+        let raw = text("free", &format!("f{at}"), at as u64 % 2, "k", b"hello");
+        let saw = ask(&mut client, &raw);
+        assert_eq!(saw, Saw::Answer(202), "{numbers:?}: request {at}, {:?} in", begun.elapsed());
+    }
+    assert!(plan.failed(Call::Accept) > 0, "{numbers:?}: accept never failed");
+    plan.heals(Call::Accept);
+    for (at, mut client) in waiting.into_iter().enumerate() {
+        let raw = text("free", &format!("w{at}"), 0, "k", b"hello");
+        assert_eq!(ask(&mut client, &raw), Saw::Answer(202), "{numbers:?}: one that waited");
+    }
+}
+
+#[test]
+fn a_request_is_answered_while_accept_fails() {
+    thread::scope(|scope| {
+        ACCEPT.into_iter().for_each(|number| _ = scope.spawn(move || answers_while_accept_fails(&[number])));
+        scope.spawn(|| answers_while_accept_fails(&ACCEPT));
+    });
+}
+
+/// No connection can be made for two seconds. A text that has twenty is not given up for that, and a once-only one goes once.
+fn texts_outlast_failed_connects(call: Call, number: i32) {
+    let (witness, folder) = (Witness::new(2, false), Folder::new());
+    let plan = Plan::new(&folder);
+    let daemon = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+    plan.fails(call, 1000, &[number]);
+    let ids: Vec<String> = (0..12).map(|at| format!("c{at}")).collect();
+    for (at, id) in ids.iter().enumerate() {
+        let product = ["free", "marked", "once"][at % 3];
+        hand_in_until_taken(&daemon, &text(product, id, at as u64 % 2, "k", b"hello"));
+    }
+    thread::sleep(Duration::from_secs(2));
+    assert!(plan.failed(call) > 0, "{call:?} {number} never failed");
+    plan.heals(call);
+    let open = witness.without_end(&ids, Duration::from_secs(21));
+    let seen = witness.seen();
+    assert!(open.is_empty(), "{call:?} {number}: no end of {open:?}");
+    assert!(seen.notices.is_empty(), "{call:?} {number}: given up: {:?}", seen.notices);
+    let twice: Vec<_> = seen.calls.iter().filter(|(_, calls)| calls.len() > 1).collect();
+    assert!(twice.is_empty(), "{call:?} {number}: {twice:?}");
+}
+
+#[test]
+fn texts_outlast_two_seconds_in_which_no_connection_is_made() {
+    thread::scope(|scope| {
+        for number in SOCKET {
+            scope.spawn(move || texts_outlast_failed_connects(Call::Socket, number));
+        }
+        for number in CONNECT {
+            scope.spawn(move || texts_outlast_failed_connects(Call::Connect, number));
+        }
+    });
+}
+
+/// Writes and syncs fail for two seconds, in the middle of which the process is killed: what was answered 202 ends.
+fn a_failing_disk_loses_nothing(call: Call, number: i32) {
+    let (witness, folder) = (Witness::new(2, false), Folder::new());
+    let plan = Plan::new(&folder);
+    let start = || Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+    let mut daemon = start();
+    let mut taken = Vec::new();
+    let mut hands_in = |daemon: &Daemon, count: usize, name: &str| {
+        for at in 0..count {
+            let id = format!("{name}{at}");
+            if daemon.client().ask(&text("free", &id, at as u64 % 2, "k", b"hello")).0 == 202 {
+                taken.push(id);
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    };
+    hands_in(&daemon, 20, "before");
+    witness.falls_silent(true);
+    hands_in(&daemon, 20, "silent");
+    let per_mille = if matches!(call, Call::HalfWrite) { 300 } else { 1000 };
+    plan.fails(call, per_mille, &[number]);
+    if matches!(call, Call::HalfWrite) {
+        plan.fails(Call::FileWrite, 100, &[number]);
+    }
+    hands_in(&daemon, 25, "failing");
+    witness.falls_silent(false);
+    hands_in(&daemon, 25, "answered");
+    daemon.kill();
+    [Call::FileWrite, Call::HalfWrite].into_iter().for_each(|call| plan.heals(call));
+    let daemon = start();
+    hands_in(&daemon, 10, "after");
+    let open = witness.without_end(&taken, Duration::from_secs(22));
+    assert!(open.is_empty(), "{call:?} {number}: no end of {open:?}");
+    assert!(taken.iter().any(|id| id.starts_with("after")), "{call:?} {number}: goes on");
+}
+
+#[test]
+fn what_was_taken_on_outlasts_a_disk_that_fails_and_a_kill() {
+    thread::scope(|scope| {
+        for number in [ENOSPC, EIO] {
+            scope.spawn(move || a_failing_disk_loses_nothing(Call::FileWrite, number));
+            scope.spawn(move || a_failing_disk_loses_nothing(Call::HalfWrite, number));
+        }
+    });
+}
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -1,8 +1,11 @@
 mod admission;
+mod clock_steps;
 mod common;
 mod crossings;
 mod discovery;
 mod edges;
+mod failing_calls;
+mod faults;
 mod few_descriptors;
 mod forms;
 mod handover;
@@ -14,3 +17,4 @@
 mod reload;
 mod samples;
 mod sockets;
+mod witness;
