Intake: a failed accept ends no connection unless this process has no descriptor left

Cause: each accept that failed with ENFILE, ENOBUFS, ENOMEM or EMFILE was taken for a shortage that one of the open connections could mend, every 20 ms (Intake::not_taken). Ruled out: ECONNABORTED, EPROTO, EPERM, ENETDOWN, EHOSTUNREACH and ENETUNREACH, which ended nobody.

Change: room is made where the process itself can open no descriptor (asked of the kernel, by a copy of one it has), or where the system has had none for 2 s; and then by none that came less than 100 ms ago and sent nothing whole (Settings::grace of the admission crate). Other failures are tried again after 1 ms, doubling, where it was 20 ms at once: they are of one connection, and the next waits behind it.

--- a/crates/admission/src/connections.rs
+++ b/crates/admission/src/connections.rs
@@ -71,6 +71,9 @@
     pub addresses: usize,
     /// Where there is no room, one goes whose request came to a halt for so long.
     pub pause: Span,
+    /// For want of a descriptor, no connection goes that came less long ago and has sent nothing whole: its first request
+    /// may be on the way.
+    pub grace: Span,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -175,7 +178,8 @@
             Event::Shortage => {
                 // Nobody knows yet who waits outside, so those that work keep theirs.
                 let least = self.least(now, Some(&self.strangers), Worth::Question);
-                let Some(least) = least.or_else(|| self.least(now, Some(&self.ranks), Worth::Text)) else {
+                let least = least.or_else(|| self.least(now, Some(&self.ranks), Worth::Text));
+                let Some(least) = least.filter(|least| !self.is_new(now, *least)) else {
                     return Answer::Nothing;
                 };
                 self.leaves(now, least);
@@ -254,6 +258,12 @@
         })
     }
 
+    /// Whether it came so lately that its first request may still be on the way.
+    fn is_new(&self, now: Moment, number: Number) -> bool {
+        let connection = self.open.get(&number);
+        connection.is_some_and(|at| at.state == State::Unproven && now.since(at.since) < self.settings.grace)
+    }
+
     /// The one that goes first among some, if it is worth less than who comes.
     fn least(&self, now: Moment, ranks: Option<&BTreeSet<Rank>>, worth: Worth) -> Option<Number> {
         let yields = |(state, since, _): &&Rank| match state {
--- a/crates/admission/tests/connections.rs
+++ b/crates/admission/tests/connections.rs
@@ -295,3 +295,23 @@
         prop_assert_eq!(crowd.connections.busy(), 0);
     }
 }
+
+/// For want of a descriptor the one that has been silent longest goes, and none that has only just come.
+#[test]
+fn one_that_has_just_come_makes_no_room_for_want_of_a_descriptor() {
+    let grace = Span::millis(100);
+    let mut connections = Connections::new(Settings { places: 10, grace, ..Settings::default() });
+    let address = IpAddr::from([10, 0, 0, 1]);
+    let begin = Moment::from_millis(0.0);
+    for number in [1, 2] {
+        let comes = Event::Comes { number: Number(number), address, worth: Worth::Unknown };
+        let at = begin + Span::millis(60 * number as i64);
+        assert_eq!(connections.step(at, comes), Answer::Seated { instead_of: None });
+    }
+    // The first came at 60 ms, the second at 120 ms.
+    let mut shortage = |millis| connections.step(begin + Span::millis(millis), Event::Shortage);
+    assert_eq!(shortage(159), Answer::Nothing);
+    assert_eq!(shortage(160), Answer::Leaves(Number(1)));
+    assert_eq!(shortage(219), Answer::Nothing);
+    assert_eq!(shortage(220), Answer::Leaves(Number(2)));
+}
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -26,6 +26,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// After a failure that is no shortage accepting is tried again this soon; the pause doubles while it goes on.
+const FIRST_ACCEPT_PAUSE: Duration = Duration::from_micros(500);
+
 pub struct Intake {
     pub clock: Clock,
     pub limits: Arc<Limits>,
@@ -179,6 +182,13 @@
     pub over: bool,
 }
 
+/// The failures to accept since the last connection that was taken.
+#[derive(Default)]
+struct AcceptFailures {
+    count: u32,
+    since: Option<Instant>,
+}
+
 /// What becomes of a connection whose time is up.
 pub enum Due {
     Later(Instant),
@@ -264,6 +274,7 @@
     /// Takes connections from a socket that other processes share, as long as this one is to.
     fn share(self: &Arc<Intake>, listener: &TcpListener, overflow: &Sender<PendingConnection>) {
         let beat = Timespec { tv_sec: 0, tv_nsec: self.limits.rest_beat.subsec_nanos().into() };
+        let mut failures = AcceptFailures::default();
         while !self.is_closed() {
             let shut = self.shut.load(Ordering::SeqCst);
             self.seen_shut.store(shut, Ordering::SeqCst);
@@ -278,23 +289,41 @@
                 continue;
             }
             match listener.accept() {
-                Ok((stream, _)) => self.welcome(stream, overflow),
+                Ok((stream, _)) => {
+                    failures = AcceptFailures::default();
+                    self.welcome(stream, overflow);
+                }
                 // Another process was faster.
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-                Err(e) => self.not_taken(&e),
+                Err(e) => self.not_taken(&e, &mut failures),
             }
         }
     }
 
-    fn not_taken(&self, e: &io::Error) {
-        if is_shortage(e) {
-            self.counters.no_descriptor.add(1);
+    /// Waits until accepting may be tried again. Only where this process has no descriptor left, or the system has had none
+    /// for long, does an open connection make room: those that have just come may be about to ask, and most failures are
+    /// over by themselves.
+    fn not_taken(&self, e: &io::Error, failures: &mut AcceptFailures) {
+        let since = *failures.since.get_or_insert_with(Instant::now);
+        failures.count += 1;
+        log!("no connection can be taken: {e}");
+        if !is_shortage(e) {
+            // Of one connection, as a rule, and the next one waits behind it.
+            let pause = FIRST_ACCEPT_PAUSE * (1 << failures.count.min(8));
+            return thread::sleep(pause.min(self.limits.accept_pause));
+        }
+        self.counters.no_descriptor.add(1);
+        if self.is_out_of_descriptors() || since.elapsed() >= self.limits.request_time {
             self.clients.make_room();
         }
-        log!("no connection can be taken: {e}");
         thread::sleep(self.limits.accept_pause);
     }
 
+    /// Whether this process may open no descriptor at all.
+    fn is_out_of_descriptors(&self) -> bool {
+        matches!(rustix::io::dup(&self.wake.0), Err(rustix::io::Errno::MFILE))
+    }
+
     /// Takes connections for the sender's whole life.
     pub fn run(self: Arc<Intake>, listener: TcpListener, shared: bool) {
         // Nobody waits between this thread and the queue: whoever is handed over is in its hand.
@@ -306,13 +335,17 @@
         if shared {
             return self.share(&listener, &overflow);
         }
+        let mut failures = AcceptFailures::default();
         for stream in listener.incoming() {
             if self.is_closed() {
                 return;
             }
             match stream {
-                Ok(stream) => self.welcome(stream, &overflow),
-                Err(e) => self.not_taken(&e),
+                Ok(stream) => {
+                    failures = AcceptFailures::default();
+                    self.welcome(stream, &overflow);
+                }
+                Err(e) => self.not_taken(&e, &mut failures),
             }
         }
     }
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -346,6 +346,7 @@
                 new_at_once: 50.0,
                 addresses: 4096,
                 pause: Span::millis(500),
+                grace: Span::millis(100),
                 ..Settings::default()
             },
             least_rate: 0.0,
