--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -264,7 +264,11 @@
 
     /// With this socket for clients, which other processes share. It may have to wait before it listens there.
     pub fn sharing(config: &Value, folder: &Folder, socket: &TcpListener) -> Daemon {
-        let plain = command(config, folder);
+        Daemon::sharing_by(&command(config, folder), socket)
+    }
+
+    /// The same, started in a way of the test's own.
+    pub fn sharing_by(plain: &Command, socket: &TcpListener) -> Daemon {
         let mut command = Command::new("/bin/sh");
         command.args(["-c", "exec \"$0\" 4<&0 </dev/null"]).arg(plain.get_program());
         command.envs(plain.get_envs().filter_map(|(name, value)| Some((name, value?))));
--- a/crates/sender/tests/sender/handover.rs
+++ b/crates/sender/tests/sender/handover.rs
@@ -1,6 +1,7 @@
 //! One process takes the place of another: the real program, two of it, and one socket for clients.
 
 use crate::common::*;
+use crate::faults::Plan;
 use crate::operations::free_address;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
     config: Value,
     folder: Folder,
     socket: TcpListener,
+    plan: Plan,
 }
 
 impl World {
@@ -22,7 +24,9 @@
         let (endpoint, discovery) = (Host::open(), Host::open());
         let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
         let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        World { endpoint, _discovery: discovery, config, folder: Folder::new(), socket }
+        let folder = Folder::new();
+        let plan = Plan::new(&folder);
+        World { endpoint, _discovery: discovery, config, folder, socket, plan }
     }
 
     /// One more process, at a second address of its own.
@@ -30,7 +34,8 @@
         let control = free_address();
         let mut config = self.config.clone();
         config["control"] = json!(control.to_string());
-        (Daemon::sharing(&config, &self.folder, &self.socket), control)
+        let command = self.plan.binds(command(&config, &self.folder));
+        (Daemon::sharing_by(&command, &self.socket), control)
     }
 
     fn first(&self) -> Daemon {
@@ -133,6 +138,29 @@
     assert!(world.endpoint.is_quiet(), "what was over came again");
 }
 
+/// The wall clock is stepped while one process follows another: a wait that was told lasts as long as it was told, and a text
+/// that is waiting keeps its time.
+#[test]
+fn a_step_of_the_clock_between_two_processes_moves_no_wait() {
+    for step in [3_600_000, 5_000, -5_000, -3_600_000] {
+        let world = World::new();
+        let mut old = world.first();
+        assert_eq!(old.hand_in("free", "waits", 0), 202);
+        let (wait, told) = (Duration::from_millis(2500), Instant::now());
+        let head = "HTTP/1.1 429 X\r\nContent-Length: 0\r\n";
+        world.endpoint.next().answer(format!("{head}Retry-After: {}\r\n\r\n", wait.as_secs_f64()));
+        old.counts("full", 1);
+        world.plan.steps_clock(step);
+        let new = world.replace(&mut old);
+        let next = world.endpoint.next();
+        let after = told.elapsed();
+        assert!(after >= wait, "stepped by {step} ms: called after {after:?}");
+        assert!(after < Duration::from_secs(12), "stepped by {step} ms: called after {after:?}");
+        next.status(200);
+        new.counts("delivered", 1);
+    }
+}
+
 /// A text on its last submit when ownership moves is not submitted once more, and a once-only one in doubt never.
 #[test]
 fn submits_used_and_doubt_go_over() {
