Clock: lives of one boot count by the kernel's clock of that boot, not by the wall clock

Cause: Clock::start took the wall clock as the measure across lives. A step forward ended texts with nearly all their time left, a step back put those in doubt at the age of 1970 (undeliverable), a step back by less than the absence made a doubt younger (a repeat 1.54 s after a call whose receiver remembers 1 s), and a step between two processes that follow one another moved waits (2.5 s became an hour).

Change: the folder keeps which Unix time the boot's zero is taken for (file `clock`: head, boot id, milliseconds; written beside and renamed, tried again while the disk fails), and every life of that boot counts from there by CLOCK_BOOTTIME. Without /proc or after another boot it is as before.

--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -6,6 +6,7 @@
 //! decisions by an intake or a peer of its own.
 
 pub mod accept_queue;
+pub mod boot_clock;
 pub mod clock;
 pub mod config;
 pub mod control;
@@ -184,13 +185,13 @@
             keys,
             revision,
         } = config;
-        let clock = Clock::start();
         let counters = Arc::<Counters>::default();
         let figures = Arc::<Figures>::default();
         figures.is_at(revision);
         // Before anything of another version's is touched.
         let floor = Floor::read(&state).and_then(|floor| floor.admits(&FORMATS).map(|()| floor));
         let floor = floor.map_err(|e| format!("ROUTER_STATE: {}: {e}", state.display()))?;
+        let clock = Clock::of_folder(&state);
         let ready = Arc::<AtomicBool>::default();
         let (decider, words) = bounded(limits.mailbox);
         let unread = words.clone();
