--- a/crates/sender/tests/sender/faults.rs
+++ b/crates/sender/tests/sender/faults.rs
@@ -9,7 +9,6 @@
 
 /// Which calls fail. The numbers are those of the library.
 #[derive(Clone, Copy, Debug)]
-#[allow(dead_code, reason = "tests of interrupted calls follow")]
 pub enum Call {
     Accept,
     Socket,
@@ -100,7 +99,6 @@
 }
 
 /// Linux numbers, as the manual pages of the calls name them.
-#[allow(dead_code, reason = "tests of interrupted calls follow")]
 pub mod errno {
     pub const EPERM: i32 = 1;
     pub const EINTR: i32 = 4;
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -9,6 +9,7 @@
 mod few_descriptors;
 mod forms;
 mod handover;
+mod interrupted_calls;
 mod kills;
 mod operations;
 mod owed;
