Reactor: an interrupted recv is made again, and a broken connection is no time-out

ETIMEDOUT from a connection that broke passed for the time that was set (Link).

Change: every non-blocking recv goes through one function that repeats an interrupted one; reading on behind a last answer goes on; only WouldBlock is a time that is up.

--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -480,6 +480,7 @@
             let read = stream.set_read_timeout(Some(left)).and_then(|()| stream.read(&mut rest));
             match read {
                 Ok(count) if count > 0 && count < most => most -= count,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 _ => return,
             }
         }
@@ -536,7 +537,6 @@
             match session.read() {
                 Ok(0) => return false,
                 Ok(_) => self.clients.enters(number, State::Asking),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     // One that trickles is never at rest when its time is up.
                     let in_time = session.begun.is_none() || matches!(self.due(session), Due::Later(_));
--- a/crates/sender/src/link.rs
+++ b/crates/sender/src/link.rs
@@ -39,8 +39,10 @@
     matches!(e.raw_os_error(), Some(12 | 23 | 24 | 99 | 105))
 }
 
+/// Whether a time that was set for a transfer is up. A connection that broke may say that it timed out, which is no such
+/// thing.
 fn too_late(e: &io::Error) -> bool {
-    matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+    e.kind() == ErrorKind::WouldBlock
 }
 
 impl Link {
--- a/crates/sender/src/reactor.rs
+++ b/crates/sender/src/reactor.rs
@@ -11,6 +11,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use indigomast_admission::{Number, State, Token};
 use rustix::event::{Timespec, epoll};
+use rustix::io::retry_on_intr;
 use rustix::net::RecvFlags;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read};
@@ -63,13 +64,18 @@
 
 impl Read for Come<'_> {
     fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
-        Ok(rustix::net::recv(self.0, into, RecvFlags::DONTWAIT)?.0)
+        receive(self.0, into, RecvFlags::DONTWAIT)
     }
 }
 
 /// How many of some bytes are there, without taking them; `WouldBlock` if none are.
 pub fn peek(stream: &TcpStream, into: &mut [u8]) -> io::Result<usize> {
-    Ok(rustix::net::recv(stream, into, RecvFlags::DONTWAIT | RecvFlags::PEEK)?.0)
+    receive(stream, into, RecvFlags::DONTWAIT | RecvFlags::PEEK)
+}
+
+/// Never interrupted: whoever asks would take that for a connection that broke.
+fn receive(stream: &TcpStream, into: &mut [u8], flags: RecvFlags) -> io::Result<usize> {
+    Ok(retry_on_intr(|| rustix::net::recv(stream, &mut *into, flags))?.0)
 }
 
 /// What a thread of the pool is to do.
@@ -201,16 +207,14 @@
         match come {
             Ok(_) => intake.over(&session),
             // Looked at before its time is judged: after a spell of standing still both are there.
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                match intake.due(&session) {
-                    Due::Later(at) => self.back(intake, session, at),
-                    Due::Ends => intake.over(&session),
-                    Due::TimedOut => {
-                        self.served.fetch_add(1, Ordering::SeqCst);
-                        self.hand(intake, Work::TimedOut(session));
-                    }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => match intake.due(&session) {
+                Due::Later(at) => self.back(intake, session, at),
+                Due::Ends => intake.over(&session),
+                Due::TimedOut => {
+                    self.served.fetch_add(1, Ordering::SeqCst);
+                    self.hand(intake, Work::TimedOut(session));
                 }
-            }
+            },
             Err(_) => intake.over(&session),
         }
     }
