--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -1,6 +1,6 @@
 //! A platform for one sender: discovery, endpoints whose every answer a test gives by hand, and clients.
 
-use crossbeam_channel::{Receiver, Sender, unbounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use indigomast_sender::http::{Request, take_request};
 use indigomast_sender::limits::{Grant, Limits};
 use indigomast_sender::ring::Ring;
@@ -13,7 +13,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,6 +30,10 @@
     pub request: Request,
     /// How many turns its host had taken when the connection was accepted, however late the request is read.
     pub turn: usize,
+    /// When its last byte was read.
+    pub came: Instant,
+    /// Whether the sender has ended the connection instead of waiting on.
+    pub gone: Arc<AtomicBool>,
     answer: Sender<Option<Vec<u8>>>,
 }
 
@@ -53,6 +57,19 @@
     }
 }
 
+/// How often a connection whose request waits for its answer is looked at.
+const LOOKS: Duration = Duration::from_millis(10);
+
+fn is_ended(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("a mode is set");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("a mode is set");
+    match peeked {
+        Ok(count) => count == 0,
+        Err(e) => e.kind() != ErrorKind::WouldBlock,
+    }
+}
+
 /// A server each of whose requests waits in a queue until the test answers it.
 pub struct Host {
     pub address: SocketAddr,
@@ -108,10 +125,21 @@
         loop {
             while let Some(request) = take_request(&mut ring, &limits).expect("senders speak HTTP") {
                 let (answer, answered) = unbounded();
-                if arrivals.send(Visit { request, turn, answer }).is_err() {
+                let gone = Arc::<AtomicBool>::default();
+                let visit = Visit { request, turn, came: Instant::now(), gone: Arc::clone(&gone), answer };
+                if arrivals.send(visit).is_err() {
                     return;
                 }
-                let Ok(Some(raw)) = answered.recv() else { return };
+                let raw = loop {
+                    match answered.recv_timeout(LOOKS) {
+                        Ok(Some(raw)) => break raw,
+                        Err(RecvTimeoutError::Timeout) if is_ended(&stream) => {
+                            gone.store(true, Ordering::SeqCst);
+                        }
+                        Err(RecvTimeoutError::Timeout) => {}
+                        Ok(None) | Err(RecvTimeoutError::Disconnected) => return,
+                    }
+                };
                 if stream.write_all(&raw).is_err() {
                     return;
                 }
@@ -308,6 +336,12 @@
         }
     }
 
+    /// Whether the process is over, though nobody has waited for it yet.
+    pub fn has_ended(&self) -> bool {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        stat.rsplit_once(") ").is_none_or(|(_, rest)| rest.starts_with('Z'))
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
--- a/crates/sender/tests/sender/failing_calls.rs
+++ b/crates/sender/tests/sender/failing_calls.rs
@@ -124,3 +124,64 @@
         }
     });
 }
+
+/// A text is given up while nothing can be written, and the process is killed. Either its end was told, and then the next
+/// process calls nobody for it, or it was not, and then the next process owes it.
+fn no_call_follows_an_end_that_was_told(number: i32) {
+    let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+    let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    let plan = Plan::new(&folder);
+    let start = || Daemon::start_by(plan.binds(command(&config, &folder)));
+    let mut daemon = start();
+    assert_eq!(daemon.hand_in("free", "t", 0), 202);
+    let call = endpoint.next();
+    plan.fails(Call::FileWrite, 1000, &[number]);
+    // The wait that is told here goes beyond the text's time.
+    call.answer("HTTP/1.1 429 X\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
+    let told = report_within(&discovery, Duration::from_millis(1500));
+    daemon.kill();
+    plan.heals(Call::FileWrite);
+    let _daemon = start();
+    if let Some(visit) = told {
+        visit.status(204);
+        let again = endpoint.next_within(Duration::from_millis(1500));
+        assert!(again.is_none(), "{number}: called after its end was told");
+    } else {
+        endpoint.next().status(200);
+    }
+}
+
+/// The next notice, if one comes in time.
+fn report_within(discovery: &Host, within: Duration) -> Option<Visit> {
+    let by = Instant::now() + within;
+    while let Some(visit) = discovery.next_within(by.saturating_duration_since(Instant::now())) {
+        if visit.request.path == "/reports" {
+            return Some(visit);
+        }
+    }
+    None
+}
+
+#[test]
+fn no_call_follows_an_end_that_was_told_while_the_disk_failed() {
+    [ENOSPC, EIO].into_iter().for_each(no_call_follows_an_end_that_was_told);
+}
+
+/// Nothing can be written for ten seconds. A call that was never made is no try of a text: those that wait for theirs have
+/// them all once the disk is well.
+#[test]
+fn a_disk_that_fails_for_long_uses_up_no_tries() {
+    let (witness, folder) = (Witness::new(1, true), Folder::new());
+    let plan = Plan::new(&folder);
+    let daemon = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+    let ids: Vec<String> = (0..20).map(|at| format!("l{at}")).collect();
+    ids.iter().for_each(|id| hand_in_until_taken(&daemon, &text("free", id, 0, "k", b"hello")));
+    plan.fails(Call::FileWrite, 1000, &[EIO]);
+    witness.falls_silent(false);
+    thread::sleep(Duration::from_secs(10));
+    plan.heals(Call::FileWrite);
+    let open = witness.without_end(&ids, Duration::from_secs(12));
+    let seen = witness.seen();
+    assert!(open.is_empty(), "no end of {open:?}");
+    assert!(seen.notices.is_empty(), "given up: {:?}", seen.notices);
+}
--- a/crates/sender/tests/sender/kills.rs
+++ b/crates/sender/tests/sender/kills.rs
@@ -13,17 +13,17 @@
 const DESTS: usize = 6;
 
 /// Numbers from a seed, the same in every run.
-struct Dice(u64);
+pub struct Dice(pub u64);
 
 impl Dice {
-    fn roll(&mut self, sides: u64) -> u64 {
+    pub fn roll(&mut self, sides: u64) -> u64 {
         self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (self.0 >> 33) % sides
     }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Given {
+pub enum Given {
     Delivered,
     /// Ended without an answer, or with one that doesn't tell whether it ran.
     Unknown,
@@ -31,7 +31,7 @@
 }
 
 #[derive(Default)]
-struct Seen {
+pub struct Seen {
     /// What each text was given at each visit, and in which life of the sender it came.
     visits: BTreeMap<String, Vec<(usize, Given)>>,
     /// Visits without an answer yet, by text and life.
@@ -39,8 +39,8 @@
     /// By key and life the first and the last text that came.
     came: BTreeMap<String, BTreeMap<usize, (usize, usize)>>,
     /// The end that was told, and the life that told it first.
-    reported: BTreeMap<String, (usize, String)>,
-    wrong: Vec<String>,
+    pub reported: BTreeMap<String, (usize, String)>,
+    pub wrong: Vec<String>,
 }
 
 fn number(id: &str) -> usize {
@@ -49,7 +49,7 @@
 
 impl Seen {
     /// What a killed life sent may be read when the next has long sent its own: it comes before all of that.
-    fn comes(&mut self, id: &str, life: usize) {
+    pub fn comes(&mut self, id: &str, life: usize) {
         let visits = self.visits.entry(id.to_owned()).or_default();
         if visits.len() >= 6 {
             self.wrong.push(format!("{id} is submitted for the {}th time", visits.len() + 1));
@@ -57,8 +57,10 @@
         if !self.open.insert((id.to_owned(), life)) {
             self.wrong.push(format!("{id} is submitted twice at once"));
         }
-        if self.reported.get(id).is_some_and(|(told_by, _)| *told_by <= life) {
-            self.wrong.push(format!("{id} is submitted after its end was told"));
+        if let Some((told_by, end)) = self.reported.get(id).filter(|(told_by, _)| *told_by <= life) {
+            self.wrong.push(format!(
+                "{id} is submitted by life {life} after its end was told, {end} by life {told_by}; before that {visits:?}"
+            ));
         }
         let ran = visits.iter().any(|(_, given)| *given != Given::NeverRan);
         if id.starts_with('o') && ran {
@@ -78,19 +80,19 @@
         }
     }
 
-    fn gets(&mut self, id: &str, life: usize, given: Given) {
+    pub fn gets(&mut self, id: &str, life: usize, given: Given) {
         self.open.remove(&(id.to_owned(), life));
         self.visits.entry(id.to_owned()).or_default().push((life, given));
     }
 }
 
 /// Texts of a key go to one destination.
-fn dest(number: usize) -> u64 {
+pub fn dest(number: usize) -> u64 {
     (number % 12 / 4 * 2 + number % 2) as u64
 }
 
 /// Three keys in order; all others have one of their own.
-fn key(id: &str) -> String {
+pub fn key(id: &str) -> String {
     if id.starts_with('q') { format!("k{}", number(id) % 12 / 4) } else { format!("own-{id}") }
 }
 
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -17,5 +17,6 @@
 mod readiness;
 mod reload;
 mod samples;
+mod soak;
 mod sockets;
 mod witness;
