--- a/crates/sender/tests/sender/soak.rs
+++ b/crates/sender/tests/sender/soak.rs
@@ -111,7 +111,7 @@
 
 /// One endpoint: mostly delivers, now and then fails in each of its ways, and hangs while it is told to.
 fn serve(host: &Arc<Host>, number: usize, seed: u64, shared: &Arc<Shared>) {
-    let mut dice = Dice(seed ^ (number as u64 + 1) * 77_777);
+    let mut dice = Dice(seed ^ ((number as u64 + 1) * 77_777));
     let mut hung: Vec<(String, Visit)> = Vec::new();
     while !shared.over.load(Ordering::Relaxed) {
         let visit = host.next_within(Duration::from_millis(20));
