Tests: tries used up by a disk that fails for ten seconds, red with three tries a text

Cause sought: the test with six tries failed once beside twenty others and passed five times alone.

With three tries a text it fails alone too (one run), so that is what the test asks for now.

--- a/crates/sender/tests/sender/failing_calls.rs
+++ b/crates/sender/tests/sender/failing_calls.rs
@@ -171,7 +171,8 @@
 /// them all once the disk is well.
 #[test]
 fn a_disk_that_fails_for_long_uses_up_no_tries() {
-    let (witness, folder) = (Witness::new(1, true), Folder::new());
+    let (mut witness, folder) = (Witness::new(1, true), Folder::new());
+    witness.config["settings"]["ceilings"]["max-attempts"] = serde_json::json!(3);
     let plan = Plan::new(&folder);
     let daemon = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
     let ids: Vec<String> = (0..20).map(|at| format!("l{at}")).collect();
