--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -186,6 +186,17 @@
     handover: Option<Handover>,
     /// Of the list in force; none where discovery may be another one since.
     revision: Option<u64>,
+    /// Why no text is submitted just now.
+    holds: Holds,
+}
+
+/// What keeps texts from being submitted for a while.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Holds {
+    /// Another process is about to take over.
+    handover: bool,
+    /// The journal can't be written: no call may leave that it does not know of, and one that never left is no try.
+    journal: bool,
 }
 
 /// Keys as indices, forgotten once no text has them; an index never comes twice.
@@ -303,6 +314,7 @@
             seen: None,
             handover: self.handover,
             revision,
+            holds: Holds::default(),
         };
         desk.listed(Scope::Persisted, known);
         desk.resume();
@@ -399,20 +411,27 @@
             Some(Step::Hold) => {
                 log!("another process waits to take over");
                 intake.leaves(true);
-                self.events.push(Event::Quiet(true));
+                self.hold(Holds { handover: true, ..self.holds });
             }
             Some(Step::StopAccepting) => intake.stop_accepting(true),
             Some(Step::Resume) => {
                 log!("no other process takes over now");
                 intake.stop_accepting(false);
                 intake.leaves(false);
-                self.events.push(Event::Quiet(false));
+                self.hold(Holds { handover: false, ..self.holds });
             }
             Some(Step::Leave) | None => {}
         }
         false
     }
 
+    fn hold(&mut self, holds: Holds) {
+        if holds != self.holds {
+            self.holds = holds;
+            self.events.push(Event::Quiet(holds.handover || holds.journal));
+        }
+    }
+
     /// All that the next owner has to know beside the journal.
     fn handover_state(&self) -> HandoverState {
         let (endpoints, next_endpoint) = self.places.known();
@@ -978,14 +997,30 @@
             self.counters.turned_away.add(1);
             _ = reply.try_send(Admission::Full);
         }
+        self.hold(Holds { journal: flushed.is_err(), ..self.holds });
         self.answer_orders(flushed.is_ok());
-        for note in std::mem::take(&mut self.notes) {
+        self.send_notices(flushed.is_ok());
+        flushed.is_ok()
+    }
+
+    /// Lets ends be known. One that is not in the journal is held back: a next life would go on with its text, whose client
+    /// has been told. Not beyond the text's time, after which no life does.
+    fn send_notices(&mut self, written: bool) {
+        let now = self.clock.now();
+        let may_go = |notice: &mut Notice| {
+            let owed = self.wal.owed().get(&notice.text.0);
+            written || owed.is_none_or(|owed| now >= Moment::from_millis(owed.info.until_ms))
+        };
+        for notice in self.notes.extract_if(.., may_go) {
             // The actor's mailbox holds as many as there can be texts.
-            if self.notices.try_send(note).is_err() {
+            if self.notices.try_send(notice).is_err() {
                 log!("the actor that reports is gone");
             }
         }
-        flushed.is_ok()
+        if !self.notes.is_empty() {
+            let again = now + span(self.limits.report_pause);
+            self.wake = Some(self.wake.map_or(again, |wake| wake.min(again)));
+        }
     }
 
     fn carry(&mut self, endpoint: EndpointId, call: Call) {
