Peer: a mailbox holds boxed calls and 256 asks at the most

Cause: each endpoint in use has a mailbox with room for four asks a connection that the limits allow (1,396 with 1,024 sockets), of about 100 bytes each, and the channel touches all of its room when it is made: 140 KB an endpoint.

Change: a call in a mailbox is boxed, and there is room for 256 asks; what finds none is asked again or goes back as not sent, as before.

--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -1037,12 +1037,12 @@
         }
         self.counters.calls.add(1);
         let Some(peer) = &place.peer else { return self.not_sent(endpoint, call) };
-        if let Err(lost) = peer.try_send(peer::Ask::Call(call.to(endpoint, &self.trunk))) {
+        if let Err(lost) = peer.try_send(peer::Ask::Call(Box::new(call.to(endpoint, &self.trunk)))) {
             if lost.is_disconnected() {
                 place.peer = None;
             }
             if let peer::Ask::Call(call) = lost.into_inner() {
-                self.not_sent(endpoint, call);
+                self.not_sent(endpoint, *call);
             }
         }
     }
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -279,7 +279,8 @@
             place_rest: Duration::from_secs(60),
             texts: texts.max(8),
             mailbox: 4 * (clients + sockets) + 64,
-            peer_mailbox: 4 * links + 64,
+            // What finds no room is asked again, or goes back as not sent; each endpoint in use has one of these.
+            peer_mailbox: (4 * links + 64).min(256),
             id_rest: Duration::from_secs(10),
             key_rest: Duration::from_secs(10),
             clients,
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -86,7 +86,8 @@
 pub type Submit = (TextId, usize);
 
 pub enum Ask {
-    Call(Call),
+    /// Boxed: a mailbox has room for many asks, and an endpoint in use has a mailbox.
+    Call(Box<Call>),
     Revoke(Submit),
     /// Not to be sent if it has not left yet.
     Withhold(Submit),
@@ -149,7 +150,7 @@
 type SharedTie = Arc<Mutex<Tie>>;
 
 struct Line {
-    calls: Sender<Call>,
+    calls: Sender<Box<Call>>,
     tie: SharedTie,
     rests_since: Option<Instant>,
 }
@@ -263,7 +264,7 @@
         if trunk.budget.used(Purpose::Gateway) > trunk.limits.links && !trunk.resting.make_room() {
             return Err("all that the limits allow are open".into());
         }
-        let (calls, inbox) = bounded::<Call>(1);
+        let (calls, inbox) = bounded::<Box<Call>>(1);
         let tie = SharedTie::default();
         let mut carrier = Carrier {
             endpoint: self.endpoint,
--- a/crates/sender/tests/sender/crossings.rs
+++ b/crates/sender/tests/sender/crossings.rs
@@ -23,7 +23,7 @@
     let (trunk, words) = trunk();
     let by = Instant::now() + PATIENCE;
     let (mailbox, asks) = bounded(4);
-    mailbox.send(Ask::Call(call(&trunk, [part(0, by), part(1, by)]))).expect("there is room");
+    mailbox.send(Ask::Call(Box::new(call(&trunk, [part(0, by), part(1, by)])))).expect("there is room");
     assert!(words.is_empty());
     drop((asks, mailbox));
     assert_eq!([verdict(&words), verdict(&words)], [Verdict::Moot; 2]);
@@ -39,7 +39,7 @@
     let (peer, trunk, words) = peer(&endpoint);
     let now = Instant::now();
     let parts = [part(0, now + PATIENCE), part(1, now), part(2, now + PATIENCE)];
-    peer.send(Ask::Call(call(&trunk, parts))).expect("it listens");
+    peer.send(Ask::Call(Box::new(call(&trunk, parts)))).expect("it listens");
     assert_eq!(verdict(&words), Verdict::Moot, "the late one never ran");
     let visit = endpoint.next();
     let body = String::from_utf8(visit.request.body.clone()).expect("text");
@@ -58,7 +58,7 @@
     for submit in 0..2 {
         let mut part = part(0, by);
         part.submit = submit;
-        peer.send(Ask::Call(call(&trunk, [part]))).expect("it listens");
+        peer.send(Ask::Call(Box::new(call(&trunk, [part])))).expect("it listens");
         let visit = endpoint.next();
         if submit == 1 {
             peer.send(Ask::Revoke((TextId(0), 0))).expect("it listens");
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -235,7 +235,7 @@
     };
     let mut call = Call::new(part(0, 200), sent).to(EndpointId(0), &trunk);
     call.parts.push(part(1, 500));
-    own.send(Ask::Call(call)).expect("it listens");
+    own.send(Ask::Call(Box::new(call))).expect("it listens");
     let unanswered = endpoint.next();
     for _ in 0..2 {
         match words.recv_timeout(crate::common::PATIENCE) {
@@ -298,7 +298,7 @@
     let endpoint = Host::open();
     let (peer, trunk, words) = peer(&endpoint);
     let by = Instant::now() + crate::common::PATIENCE;
-    peer.send(Ask::Call(call(&trunk, [part(0, by), part(1, by)]))).expect("it listens");
+    peer.send(Ask::Call(Box::new(call(&trunk, [part(0, by), part(1, by)])))).expect("it listens");
     let _unanswered = endpoint.next();
     [0, 0].into_iter().for_each(|at| peer.send(Ask::Revoke((TextId(at), 0))).expect("it listens"));
     assert!(words.recv_timeout(Duration::from_millis(50)).is_err(), "the other is wanted still");
@@ -311,11 +311,11 @@
 fn a_call_leaves_in_time_or_not_at_all() {
     let endpoint = Host::open();
     let (peer, trunk, words) = peer(&endpoint);
-    peer.send(Ask::Call(call(&trunk, [part(0, Instant::now())]))).expect("it listens");
+    peer.send(Ask::Call(Box::new(call(&trunk, [part(0, Instant::now())])))).expect("it listens");
     assert_eq!(verdict(&words), Verdict::Moot);
     assert!(endpoint.is_quiet());
     let by = Instant::now() + crate::common::PATIENCE;
-    peer.send(Ask::Call(call(&trunk, [part(0, by)]))).expect("it listens");
+    peer.send(Ask::Call(Box::new(call(&trunk, [part(0, by)])))).expect("it listens");
     let left = endpoint.next();
     peer.send(Ask::Withhold((TextId(0), 0))).expect("it listens");
     left.status(200);
