--- /dev/null
+++ b/crates/sender/tests/sender/list_changes.rs
@@ -0,0 +1,122 @@
+//! An entry of the list changes in more than its phase: a text goes only where the list has its destination now.
+
+use crate::common::*;
+use rustix::net::listen;
+use serde_json::{Value, json};
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn page(revision: u64, complete: bool, members: &[Value]) -> Vec<u8> {
+    ok_json(&json!({"revision": revision, "complete": complete, "members": members}).to_string())
+}
+
+/// An endpoint is listed under another destination. The texts of the one before wait for an endpoint of their own, and
+/// those of the new one may go there.
+fn follows_another_destination(complete: bool) {
+    let (discovery, endpoint, other) = (Host::open(), Host::open(), Host::open());
+    let members = [member("e0", &endpoint, 0, "Ready"), member("e1", &other, 1, "Ready")];
+    let (config, folder) = (config(&members, discovery.address), Folder::new());
+    let daemon = Daemon::start(&config, &folder);
+    let watch = discovery.next();
+    assert_eq!(daemon.hand_in("free", "before", 0), 202);
+    endpoint.next().status(200);
+    let moved = [member("e0", &endpoint, 1, "Ready"), member("e1", &other, 0, "Ready")];
+    watch.answer(page(42, complete, &moved));
+    daemon.counts("lists", 1);
+    for (id, dest, host) in [("first", 0, &other), ("second", 1, &endpoint), ("third", 0, &other)] {
+        assert_eq!(daemon.hand_in("free", id, dest), 202);
+        let visit = host.next();
+        assert_eq!(visit.header("x-request-id"), id);
+        visit.status(200);
+    }
+    daemon.counts("delivered", 4);
+    assert!(endpoint.is_quiet() && other.is_quiet());
+}
+
+#[test]
+fn a_text_follows_its_destination_when_endpoints_change_theirs() {
+    [false, true].into_iter().for_each(follows_another_destination);
+}
+
+/// An address that takes no connection yet: a first one fills its backlog, and packets of others are dropped.
+struct Late {
+    listener: TcpListener,
+    fills: TcpStream,
+}
+
+impl Late {
+    fn open() -> Late {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listen(&listener, 0).expect("it listens");
+        let fills = TcpStream::connect(listener.local_addr().expect("bound")).expect("there is room for one");
+        Late { listener, fills }
+    }
+
+    fn member(&self, name: &str, dest: u64, phase: &str) -> Value {
+        let mut listed = json!({"id": name, "locality": "a", "flavor": "k", "cell": dest, "phase": phase,
+            "size": 1.0, "up_since_ms": 0});
+        listed["host_port"] = json!(self.listener.local_addr().expect("bound").to_string());
+        listed
+    }
+
+    /// Takes connections from now on, and says whether a call comes on one within this time.
+    fn is_called(self, within: Duration) -> bool {
+        drop(self.fills);
+        self.listener.set_nonblocking(true).expect("a mode is set");
+        let (by, mut open) = (Instant::now() + within, Vec::new());
+        while Instant::now() < by {
+            if let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(true).expect("a mode is set");
+                open.push(stream);
+            }
+            if open.iter_mut().any(|stream: &mut TcpStream| matches!(stream.read(&mut [0]), Ok(1))) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+}
+
+/// A call waits for its connection while the list says that another endpoint is at that address now, of another
+/// destination. It does not leave, whatever comes of the connection, and the text goes where its destination is.
+fn is_not_called_at_an_address_that_changed_hands(change: impl Fn(&Late, &Host) -> Vec<Value>, what: &str) {
+    let (discovery, moved, late) = (Host::open(), Host::open(), Late::open());
+    let mut config = config(&[late.member("e0", 0, "Ready")], discovery.address);
+    config["settings"]["ceilings"]["connect-timeout-ms"] = json!(5000.0);
+    let folder = Folder::new();
+    let daemon = Daemon::start(&config, &folder);
+    let watch = discovery.next();
+    assert_eq!(daemon.hand_in("free", "a", 0), 202);
+    daemon.counts("calls", 1);
+    watch.answer(page(42, false, &change(&late, &moved)));
+    daemon.counts("lists", 1);
+    thread::scope(|scope| {
+        let called = scope.spawn(|| late.is_called(Duration::from_millis(4_500)));
+        let visit = moved.next();
+        assert_eq!(visit.header("x-request-id"), "a");
+        visit.status(200);
+        assert!(!called.join().expect("it looks"), "{what}: called where another destination is");
+    });
+}
+
+#[test]
+fn a_call_that_still_connects_does_not_leave_for_an_address_that_changed_hands() {
+    is_not_called_at_an_address_that_changed_hands(
+        |late, moved| vec![late.member("e9", 7, "Ready"), member("e0", moved, 0, "Ready")],
+        "moved",
+    );
+    is_not_called_at_an_address_that_changed_hands(
+        |late, moved| {
+            let gone = late.member("e0", 0, "Gone");
+            vec![gone, late.member("e9", 7, "Ready"), member("e1", moved, 0, "Ready")]
+        },
+        "replaced",
+    );
+    is_not_called_at_an_address_that_changed_hands(
+        |late, moved| vec![late.member("e0", 7, "Ready"), member("e1", moved, 0, "Ready")],
+        "another destination",
+    );
+}
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -11,6 +11,7 @@
 mod handover;
 mod interrupted_calls;
 mod kills;
+mod list_changes;
 mod operations;
 mod owed;
 mod parts;
