List: another destination makes another endpoint; one that moves gets no late call

Cause: an endpoint kept the destination, kind and zone under which it was first listed (rules.rs, listed), so texts went where their destination was no longer; and calls that still waited for a connection to a moved endpoint's old address left for it, where the list had another endpoint by then.

Change: under the same name but another destination, kind or zone the list names another endpoint, which gets an index of its own, and the one before is deleted (Places::replaced_by). Where only the address changes the endpoint stays, with what is known of its health, and its calls that have not left are withheld (Desk::withhold_all); they never ran.

--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -825,6 +825,9 @@
         let mut told = BTreeSet::new();
         let out: Vec<String> = self.out_by_hand().map(str::to_owned).collect();
         for member in members {
+            if let Some(before) = self.places.replaced_by(&member) {
+                entries.extend(self.deleted(before));
+            }
             let (at, place) = self.places.put(&member);
             let (dest, condition, units) = (member.dest, member.condition, member.units);
             log_account!(endpoint = at.0, name = member.name, dest, kind = member.kind.0, condition:?, units; "listed");
@@ -833,6 +836,7 @@
             place.address = member.address.or(place.address);
             if moved {
                 self.places.retire(at);
+                self.withhold_all(at);
             }
             if member.condition == Condition::Deleted {
                 self.places.leaves(at);
@@ -855,6 +859,22 @@
         out.iter().for_each(|name| self.maintain(name, true));
     }
 
+    /// What the decisions are told of an endpoint that is over though the list goes on to name another one like it.
+    fn deleted(&mut self, endpoint: EndpointId) -> Option<Entry> {
+        let place = self.places.get(endpoint)?;
+        let (dest, kind, zone, units) = (place.dest, place.kind, place.zone, place.units);
+        let dest = DestId(self.dests.place(&dest));
+        Some(Entry { endpoint, dest, kind, zone, units, condition: Condition::Deleted })
+    }
+
+    /// No call leaves any more for where an endpoint was: somebody else may be there now.
+    fn withhold_all(&mut self, endpoint: EndpointId) {
+        let out = self.out.iter().filter(|(_, to)| **to == endpoint);
+        for submit in out.map(|(submit, _)| *submit).collect::<Vec<_>>() {
+            self.places.ask(endpoint, peer::Ask::Withhold(submit));
+        }
+    }
+
     /// Asks the decisions once, writes down what they say, then carries it out.
     fn decide(&mut self) {
         let at = Instant::now();
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -101,10 +101,25 @@
         };
         let place = self.places.entry(at).or_insert_with(new);
         place.off_since = None;
-        (place.dest, place.units, place.condition) = (dest, units, condition);
+        (place.units, place.condition) = (units, condition);
         (at, place)
     }
 
+    /// Whether an endpoint of this name is known that belonged elsewhere: to another destination, kind or zone. It is over
+    /// then, and what the list names is another one, which gets an index of its own.
+    pub fn replaced_by(&mut self, member: &Listed) -> Option<EndpointId> {
+        let at = *self.by_name.get(&member.name)?;
+        let place = self.places.get(&at)?;
+        let same = (place.dest, place.kind, place.zone) == (member.dest, member.kind, member.zone);
+        // What is gone may be named without its particulars.
+        if same || member.condition == Condition::Deleted {
+            return None;
+        }
+        self.by_name.remove(&member.name);
+        self.leaves(at);
+        Some(at)
+    }
+
     /// All of them, for the process that takes this one's place; deleted are those that the list names no more.
     pub fn known(&self) -> (Vec<(EndpointId, Listed)>, usize) {
         let listed = |place: &Place| {
@@ -196,7 +211,9 @@
                     self.off.push_back((now, at));
                 }
                 Some(place) => {
-                    self.by_name.remove(&place.name);
+                    if self.by_name.get(&place.name) == Some(&at) {
+                        self.by_name.remove(&place.name);
+                    }
                     self.places.remove(&at);
                 }
                 None => {}
--- a/crates/sender/tests/sender/list_changes.rs
+++ b/crates/sender/tests/sender/list_changes.rs
@@ -62,7 +62,7 @@
     }
 
     /// Takes connections from now on, and says whether a call comes on one within this time.
-    fn is_called(self, within: Duration) -> bool {
+    fn sees_a_call(self, within: Duration) -> bool {
         drop(self.fills);
         self.listener.set_nonblocking(true).expect("a mode is set");
         let (by, mut open) = (Instant::now() + within, Vec::new());
@@ -94,7 +94,7 @@
     watch.answer(page(42, false, &change(&late, &moved)));
     daemon.counts("lists", 1);
     thread::scope(|scope| {
-        let called = scope.spawn(|| late.is_called(Duration::from_millis(4_500)));
+        let called = scope.spawn(|| late.sees_a_call(Duration::from_millis(4_500)));
         let visit = moved.next();
         assert_eq!(visit.header("x-request-id"), "a");
         visit.status(200);
