--- /dev/null
+++ b/crates/sender/tests/sender/extremes.rs
@@ -0,0 +1,231 @@
+//! Waits, deadlines, sizes and signals at the edge of what the pages allow.
+
+use crate::common::*;
+use crate::faults::Plan;
+use crate::witness::{Saw, Witness, ask, hand_in_until_taken};
+use rustix::net::listen;
+use serde_json::json;
+use std::io::Read;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What the pages let through after a wait is told.
+const LET_THROUGH: Duration = Duration::from_millis(100);
+
+fn turned_away(status: u16, seconds: f64) -> String {
+    format!("HTTP/1.1 {status} X\r\nRetry-After: {seconds}\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// Two calls are out at one destination. The one answered first is told a long wait, the other a short one, and the long
+/// one binds, for each text and whichever way it was told.
+#[test]
+fn a_shorter_wait_told_later_ends_no_longer_one() {
+    for (status, again) in [(429, 503), (503, 429)] {
+        let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+        let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+        let daemon = Daemon::start(&config, &folder);
+        assert_eq!(daemon.hand_in("free", "a", 0), 202);
+        assert_eq!(daemon.hand_in("free", "b", 0), 202);
+        let (first, second) = (endpoint.next(), endpoint.next());
+        let wait = Duration::from_millis(2_200);
+        first.answer(turned_away(status, wait.as_secs_f64()));
+        let told = Instant::now();
+        daemon.counts("full", 1);
+        second.answer(turned_away(again, 0.2));
+        assert_eq!(daemon.hand_in("free", "c", 0), 202);
+        let next = endpoint.next();
+        assert!(next.came.duration_since(told) >= wait - LET_THROUGH / 10, "{:?}", next.came - told);
+        next.status(200);
+    }
+}
+
+/// Several texts in one call are all done, and the answer holds a wait, which binds like any other.
+#[test]
+fn a_wait_told_with_several_ends_binds() {
+    let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+    let mut config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    config["settings"]["family-info"]["kind-batch"] = json!([10]);
+    let daemon = Daemon::start(&config, &folder);
+    assert_eq!(daemon.hand_in("free", "first", 0), 202);
+    endpoint.next().answer(turned_away(429, 0.8));
+    daemon.counts("full", 1);
+    for id in ["a", "b", "c"] {
+        assert_eq!(daemon.client().ask(&text("free", id, 0, "k", b"x")).0, 202);
+    }
+    let visit = endpoint.next();
+    assert_eq!(visit.request.path, "/v1/messages:batch");
+    let (ends, wait) = ("a done\r\nb done\r\nc done\r\nfirst done\r\n", Duration::from_millis(1_700));
+    let head = format!("HTTP/1.1 200 OK\r\nRetry-After: {}\r\n", wait.as_secs_f64());
+    visit.answer(format!("{head}Content-Length: {}\r\n\r\n{ends}", ends.len()));
+    let told = Instant::now();
+    daemon.counts("delivered", 4);
+    assert_eq!(daemon.hand_in("free", "d", 0), 202);
+    let next = endpoint.next();
+    assert!(next.came.duration_since(told) >= wait - LET_THROUGH / 10, "{:?}", next.came - told);
+    next.status(200);
+}
+
+/// A call to one endpoint of a destination waits for its connection while another endpoint tells a wait. It doesn't leave
+/// before that is over, though the connection comes up.
+#[test]
+fn a_call_that_still_connects_heeds_a_wait() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listen(&listener, 0).expect("it listens");
+    let late = listener.local_addr().expect("bound");
+    let fills = TcpStream::connect(late).expect("there is room for one");
+    let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+    let mut second = member("e1", &endpoint, 0, "Ready");
+    second["host_port"] = json!(late.to_string());
+    let mut config = config(&[member("e0", &endpoint, 0, "Ready"), second], discovery.address);
+    config["settings"]["ceilings"]["connect-timeout-ms"] = json!(5000.0);
+    let daemon = Daemon::start(&config, &folder);
+    // One goes to each.
+    assert_eq!(daemon.hand_in("free", "a", 0), 202);
+    assert_eq!(daemon.hand_in("free", "b", 0), 202);
+    let visit = endpoint.next();
+    daemon.counts("calls", 2);
+    let wait = Duration::from_millis(3_000);
+    visit.answer(turned_away(429, wait.as_secs_f64()));
+    let told = Instant::now();
+    drop(fills);
+    let (mut open, mut came): (Vec<TcpStream>, Option<Instant>) = (Vec::new(), None);
+    listener.set_nonblocking(true).expect("a mode is set");
+    while came.is_none() && told.elapsed() < wait - LET_THROUGH {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(true).expect("a mode is set");
+            open.push(stream);
+        }
+        let called = open.iter_mut().any(|stream| matches!(stream.read(&mut [0]), Ok(1)));
+        came = called.then(Instant::now);
+        thread::sleep(Duration::from_millis(5));
+    }
+    let came = came.filter(|came| came.duration_since(told) > LET_THROUGH);
+    assert!(came.is_none(), "called {:?} after a wait of {wait:?} was told", came.map(|came| came - told));
+    assert!(endpoint.is_quiet(), "called while the wait goes on");
+}
+
+/// A body holds 64 KiB at most: one byte less and just so many are taken on, one more is not.
+#[test]
+fn a_body_of_64_kib_travels_and_no_longer_one() {
+    let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+    let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    let daemon = Daemon::start(&config, &folder);
+    for (length, status) in [((64 << 10) - 1, 202), (64 << 10, 202), ((64 << 10) + 1, 413)] {
+        let body: Vec<u8> = (0..length).map(|at| at as u8).collect();
+        let id = format!("b{length}");
+        let answer = daemon.client().ask(&text("free", &id, 0, "k", &body)).0;
+        assert_eq!(answer, status, "{length} bytes");
+        if answer == 202 {
+            let visit = endpoint.next();
+            assert!(visit.request.body == body, "{length} bytes: changed on the way");
+            visit.status(200);
+        }
+    }
+}
+
+/// Deadlines that are no whole numbers of milliseconds are errors; the least and the most there can be are answered, and what
+/// is taken on has its end in time.
+#[test]
+fn deadlines_of_any_form_are_answered() {
+    let (witness, folder) = (Witness::new(1, true), Folder::new());
+    let daemon = Daemon::start(&witness.config, &folder);
+    let ask_with = |id: &str, told: &str| {
+        let raw = String::from_utf8(text("free", id, 0, "k", b"hello")).expect("text");
+        let line = if told == "none" { String::new() } else { format!("X-Timeout-Ms: {told}\r\n") };
+        let raw = raw.replace("X-Timeout-Ms: 20000\r\n", &line);
+        (ask(&mut daemon.client(), raw.as_bytes()), Instant::now())
+    };
+    for told in ["none", "", "-1", "1.5", "1e3", "0x10", "ten", "99999999999999999999", "12 34"] {
+        let (saw, _) = ask_with("bad", told);
+        assert!(matches!(saw, Saw::Answer(400..=499)), "{told:?}: {saw:?}");
+    }
+    for (id, millis) in [("none-left", 0), ("least", 1), ("little", 30), ("some", 700)] {
+        let (saw, sent) = ask_with(id, &millis.to_string());
+        let Saw::Answer(status) = saw else { panic!("{millis} ms: {saw:?}") };
+        assert!(matches!(status, 202 | 503), "{millis} ms: {status}");
+        if status == 202 {
+            let open = witness.without_end(&[id.to_owned()], Duration::from_millis(millis + 500));
+            assert!(open.is_empty(), "{millis} ms: no end {:?} after it was sent", sent.elapsed());
+        }
+    }
+    assert_eq!(ask_with("most", "4294967295").0, Saw::Answer(202));
+}
+
+/// The wall clock is stepped while the sender runs: a told wait, and the time of a text, are as long as they were.
+#[test]
+fn a_step_of_the_clock_while_the_sender_runs_changes_nothing() {
+    thread::scope(|scope| {
+        for step in [3_600_000, 5_000, -5_000, -3_600_000] {
+            scope.spawn(move || {
+                let (witness, folder) = (Witness::new(1, true), Folder::new());
+                let plan = Plan::new(&folder);
+                let daemon = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+                let raw = String::from_utf8(text("free", "ends", 0, "k", b"hello")).expect("text");
+                hand_in_until_taken(&daemon, raw.replace("Ms: 20000", "Ms: 3000").as_bytes());
+                let sent = Instant::now();
+                hand_in_until_taken(&daemon, &text("free", "lasts", 0, "k", b"hello"));
+                thread::sleep(Duration::from_millis(500));
+                plan.steps_clock(step);
+                let open = witness.without_end(&["ends".to_owned()], Duration::from_secs(5));
+                assert!(open.is_empty(), "stepped by {step} ms: no end");
+                let after = witness.seen().notices["ends"].0.duration_since(sent);
+                assert!(after > Duration::from_millis(2_000), "stepped by {step} ms: ended after {after:?}");
+                assert!(after < Duration::from_millis(3_800), "stepped by {step} ms: ended after {after:?}");
+                assert!(!witness.seen().has_ended("lasts"), "stepped by {step} ms: given up");
+                witness.falls_silent(false);
+                let open = witness.without_end(&["lasts".to_owned()], Duration::from_secs(18));
+                assert!(open.is_empty(), "stepped by {step} ms: no end");
+                assert!(
+                    witness.seen().delivered.contains_key("lasts"),
+                    "stepped by {step} ms: not delivered"
+                );
+            });
+        }
+    });
+}
+
+/// Signals come many at once, of each kind and in each order: the process reads its file, ends once, with code 0, and what
+/// it held is owed by the next.
+#[test]
+fn signals_in_series_end_a_sender_once_and_lose_nothing() {
+    for order in [["-HUP", "-TERM", "-HUP"], ["-TERM", "-HUP", "-TERM"], ["-TERM", "-INT", "-TERM"]] {
+        let (witness, folder) = (Witness::new(2, true), Folder::new());
+        let mut daemon = Daemon::start(&witness.config, &folder);
+        let ids: Vec<String> = (0..10).map(|at| format!("s{at}")).collect();
+        for (at, id) in ids.iter().enumerate() {
+            hand_in_until_taken(&daemon, &text("free", id, at as u64 % 2, "k", b"hello"));
+        }
+        for _ in 0..5 {
+            for signal in order {
+                if !daemon.has_ended() {
+                    daemon.signal(signal);
+                }
+            }
+        }
+        let stopped = Instant::now();
+        assert_eq!(daemon.wait(), Some(0), "{order:?}");
+        assert!(stopped.elapsed() < Duration::from_millis(3_700), "{order:?}: {:?}", stopped.elapsed());
+        witness.falls_silent(false);
+        let _next = Daemon::start(&witness.config, &folder);
+        let open = witness.without_end(&ids, Duration::from_secs(18));
+        assert!(open.is_empty(), "{order:?}: no end of {open:?}");
+    }
+}
+
+/// A client ends its sending behind its request: it is answered all the same.
+#[test]
+fn a_client_that_ends_its_side_behind_a_request_is_answered() {
+    let (witness, folder) = (Witness::new(1, false), Folder::new());
+    let daemon = Daemon::start(&witness.config, &folder);
+    for at in 0..20 {
+        let mut client = daemon.client();
+        let raw = text("free", &format!("h{at}"), 0, "k", b"hello");
+        let (head, rest) = raw.split_at(raw.len() - 1);
+        std::io::Write::write_all(&mut client.stream, head).expect("it is open");
+        std::io::Write::write_all(&mut client.stream, rest).expect("it is open");
+        client.stream.shutdown(Shutdown::Write).expect("it is open");
+        let (status, _) = client.answer();
+        assert!(matches!(status, 202 | 503), "{status}");
+    }
+}
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -4,6 +4,7 @@
 mod crossings;
 mod discovery;
 mod edges;
+mod extremes;
 mod failing_calls;
 mod faults;
 mod few_descriptors;
