Peer: a told wait binds for as long as it was told

Cause: told_wait cut waits to an hour, after which texts went to a destination that had told a longer one. Change: cut at 1e9 s only, which the sender's points in time can hold.

--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -534,9 +534,12 @@
     }
 }
 
+/// More seconds than any process lives, which points in time can still hold.
+const LONGEST_TOLD: f64 = 1e9;
+
 fn told_wait(head: &AnswerHead) -> Option<Span> {
     let seconds: f64 = head.headers.get("retry-after")?.parse().ok()?;
-    (seconds.is_finite() && seconds > 0.0).then(|| Span::from_millis(seconds.min(3600.0) * 1000.0))
+    (seconds.is_finite() && seconds > 0.0).then(|| Span::from_millis(seconds.min(LONGEST_TOLD) * 1000.0))
 }
 
 /// What the receiver tells of its limit; what can't be read is as good as not told.
