Tests: a text refused on a failing disk is owed by the next life, red

Measured on a simulated store that takes a part of a batch and then fails every call, the cut included: after a kill the next life owes one to three of four refused texts, from 120 bytes taken on.

--- a/crates/sender/tests/sender/failing_calls.rs
+++ b/crates/sender/tests/sender/failing_calls.rs
@@ -186,3 +186,40 @@
     assert!(open.is_empty(), "no end of {open:?}");
     assert!(seen.notices.is_empty(), "given up: {:?}", seen.notices);
 }
+
+/// Many texts at once are refused as the disk takes a part of what is written, and the process is killed. A client may hand
+/// in again what was refused, so nobody is called for it, in this life or the next.
+#[test]
+fn what_was_refused_on_a_failing_disk_is_never_sent() {
+    let (witness, folder) = (Witness::new(2, false), Folder::new());
+    let plan = Plan::new(&folder);
+    let mut refused = Vec::new();
+    for round in 0..6 {
+        let mut daemon = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+        let mut clients: Vec<Client> = (0..24).map(|_| daemon.client()).collect();
+        plan.fails(Call::HalfWrite, 500, &[]);
+        plan.fails(Call::FileWrite, 700, &[ENOSPC]);
+        for step in 0..4 {
+            let found: Vec<Option<String>> = thread::scope(|scope| {
+                let asks = clients.iter_mut().enumerate().map(|(at, client)| {
+                    scope.spawn(move || {
+                        let id = format!("n{round}-{step}-{at}");
+                        let raw = text("free", &id, at as u64 % 2, "k", b"hello");
+                        (ask(client, &raw) == Saw::Answer(503)).then_some(id)
+                    })
+                });
+                let asks: Vec<_> = asks.collect();
+                asks.into_iter().map(|ask| ask.join().expect("a client does no wrong")).collect()
+            });
+            refused.extend(found.into_iter().flatten());
+        }
+        daemon.kill();
+        [Call::FileWrite, Call::HalfWrite].into_iter().for_each(|call| plan.heals(call));
+    }
+    let _last = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+    thread::sleep(Duration::from_millis(1500));
+    let seen = witness.seen();
+    let sent: Vec<&String> = refused.iter().filter(|id| seen.calls.contains_key(*id)).collect();
+    assert!(refused.len() > 50, "{} were refused", refused.len());
+    assert!(sent.is_empty(), "{} of {} refused texts were sent: {sent:?}", sent.len(), refused.len());
+}
--- a/crates/sender/tests/sender/owed.rs
+++ b/crates/sender/tests/sender/owed.rs
@@ -532,3 +532,35 @@
     }
     assert!(refused > 1000 && read > 20, "{refused} {read}");
 }
+
+/// The disk takes a part of what is written and fails from then on, so that nothing can be cut off again, and the process is
+/// killed. Texts that were refused for that are not owed by the next life: their clients may have handed them in again.
+#[test]
+fn what_was_refused_is_not_owed_by_the_next_life() {
+    let limits = limits();
+    let promised = |store: Simulated| {
+        let mut wal = Wal::on(store, &limits, now()).expect("opens");
+        wal.take(info(9), vec![9; 60].into(), now()).expect("room");
+        wal.flush().expect("nothing fails yet");
+        wal
+    };
+    let begun = promised(Simulated::new()).into_store().calls();
+    let mut found = Vec::new();
+    for bytes in (8..800).step_by(8) {
+        let store = (1..40).fold(Simulated::new().fault(begun, Fault::Short(bytes)), |store, later| {
+            store.fault(begun + later, Fault::Error(ErrorKind::Other))
+        });
+        let mut wal = promised(store);
+        let refused: Vec<usize> =
+            (0..4).filter_map(|at| wal.take(info(at), vec![7; 60].into(), now())).collect();
+        if wal.flush().is_ok() {
+            continue;
+        }
+        refused.iter().for_each(|text| wal.forget(*text));
+        let next = Wal::on(wal.into_store().after_kill(), &limits, now()).expect("opens");
+        let owed = next.owed().values().map(|owed| owed.info.id.as_str());
+        found.extend(owed.filter(|id| *id != "t9").map(|id| (bytes, id.to_owned())));
+        assert!(next.owed().values().any(|owed| owed.info.id == "t9"), "{bytes}: what was promised is lost");
+    }
+    assert!(found.is_empty(), "refused and owed: {found:?}");
+}
