--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -197,6 +197,8 @@
     synced_at: Duration,
     /// The newest segment can't be trusted to end where it should: the next record goes to another.
     spoilt: bool,
+    /// What the last commit wrote of its records may be there still, though it failed.
+    uncut: bool,
     /// The manifest names an earlier segment than the first that counts.
     manifest_behind: bool,
 }
@@ -339,6 +341,7 @@
             sound: 0,
             synced_at: Duration::ZERO,
             spoilt: false,
+            uncut: false,
             manifest_behind: false,
         };
         let mut recovered =
@@ -587,6 +590,12 @@
         }
     }
 
+    /// Whether a next life may find an item, though the last commit failed: its beginning was written, or lies in a part
+    /// that could not be cut off again.
+    pub fn may_be_found(&self, key: Key) -> bool {
+        self.uncut || self.items.get(&key).is_some_and(|item| item.base.is_some())
+    }
+
     fn add(&mut self, kind: Kind, tag: u8, key: Key, payload: &[u8]) {
         self.waiting.push(Record { kind, tag, key, payload: payload.to_vec() });
     }
@@ -595,6 +604,7 @@
     /// was added since the last commit is promised, and the next one writes it again.
     pub fn commit(&mut self, now: Duration, image: &mut dyn FnMut(Key, &mut Vec<u8>)) -> io::Result<Step> {
         let mut step = Step::default();
+        self.uncut = false;
         if self.waiting.is_empty() && self.unsynced.is_empty() && !self.manifest_behind {
             return Ok(step);
         }
@@ -708,6 +718,7 @@
             if let Err(e) = self.store.append_all(file, &buffer) {
                 // What came of it is cut off again, or the next record goes elsewhere.
                 self.spoilt = self.store.truncate(file, start).is_err();
+                self.uncut = self.spoilt;
                 if self.spoilt {
                     // This segment ends at its last sync: what came since goes again as well.
                     let again = std::mem::take(&mut self.unsynced);
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -53,6 +53,8 @@
     Full,
     /// This sender could not answer for it just now: come back after so long.
     Later(Span),
+    /// It is not taken on, but a part of it may be in the journal, and then a next life may send it: no promise is made.
+    Unsure,
     /// No list has ever named its destination.
     NoSuchDest,
 }
@@ -1010,12 +1012,13 @@
             let Some(owed) = self.wal.owed().get(&text.0) else { continue };
             let key = owed.info.key.clone();
             self.ids.remove(&owed.info.id);
-            self.open(text, Admission::Full);
+            let answer = if self.wal.may_be_found(text.0) { Admission::Unsure } else { Admission::Full };
+            self.open(text, answer);
             key.iter().for_each(|key| self.keys.release(key));
             self.wal.forget(text.0);
             self.pass_gate(text, key.as_deref(), None);
             self.counters.turned_away.add(1);
-            _ = reply.try_send(Admission::Full);
+            _ = reply.try_send(answer);
         }
         self.hold(Holds { journal: flushed.is_err(), ..self.holds });
         self.answer_orders(flushed.is_ok());
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -604,6 +604,10 @@
                             _ => Next::Ends,
                         }
                     }
+                    Some(Admission::Unsure) => {
+                        ends.errored.add(1);
+                        self.put(stream, outward, 500, "", close)
+                    }
                     Some(Admission::Other) => {
                         self.counters.bad_requests.add(1);
                         self.part(number, stream, 409);
--- a/crates/sender/src/wal.rs
+++ b/crates/sender/src/wal.rs
@@ -630,6 +630,12 @@
         self.reserve = self.reserve.max(reserve);
     }
 
+    /// Whether a next life may find a text though the last flush failed. Its client can't be told then that handing it in
+    /// again is harmless.
+    pub fn may_be_found(&self, text: usize) -> bool {
+        self.journal.may_be_found(Key(text as u64))
+    }
+
     /// Forgets a text that could not be written, so that nothing is owed for it.
     pub fn forget(&mut self, text: usize) {
         self.remove(text);
