--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -8,6 +8,7 @@
 use crate::handover::{HandoverState, Watch};
 use crate::ids::Ids;
 use crate::intake::Intake;
+use crate::keys::Keys;
 use crate::limits::Limits;
 use crate::list::{self, Listed, Listing};
 use crate::notices::Notice;
@@ -201,59 +202,6 @@
     journal: bool,
 }
 
-/// Keys as indices, forgotten once no text has them; an index never comes twice.
-#[derive(Default)]
-struct Keys {
-    known: BTreeMap<String, Known>,
-    next: usize,
-    /// Keys left without texts, which the decisions may still let rest.
-    idle: VecDeque<(Instant, String)>,
-}
-
-struct Known {
-    id: KeyId,
-    texts: usize,
-    idle_since: Instant,
-}
-
-impl Keys {
-    /// Those of the process before, under their indices.
-    fn successor(left: Vec<(String, usize)>, next: usize) -> Keys {
-        let idle_since = Instant::now();
-        let idle = left.iter().map(|(key, _)| (idle_since, key.clone())).collect();
-        let known = left.into_iter().map(|(key, id)| (key, Known { id: KeyId(id), texts: 0, idle_since }));
-        Keys { known: known.collect(), next, idle }
-    }
-
-    fn place(&mut self, key: &str) -> KeyId {
-        let known = self.known.entry(key.to_owned()).or_insert_with(|| {
-            self.next += 1;
-            Known { id: KeyId(self.next - 1), texts: 0, idle_since: Instant::now() }
-        });
-        known.texts += 1;
-        known.id
-    }
-
-    fn release(&mut self, key: &str) {
-        if let Some(known) = self.known.get_mut(key) {
-            known.texts -= 1;
-            if known.texts == 0 {
-                known.idle_since = Instant::now();
-                self.idle.push_back((known.idle_since, key.to_owned()));
-            }
-        }
-    }
-
-    fn forget(&mut self, after: Duration) {
-        while self.idle.front().is_some_and(|(since, _)| since.elapsed() > after) {
-            let (since, key) = self.idle.pop_front().expect("looked at");
-            if self.known.get(&key).is_some_and(|known| known.texts == 0 && known.idle_since == since) {
-                self.known.remove(&key);
-            }
-        }
-    }
-}
-
 impl Decider {
     /// Reads back what an earlier life left, then works until told to stop and done with it.
     pub fn run(self, words: Receiver<Word>) {
@@ -437,6 +385,7 @@
     /// All that the next owner has to know beside the journal.
     fn handover_state(&self) -> HandoverState {
         let (endpoints, next_endpoint) = self.places.known();
+        let (keys, next_key) = self.keys.left();
         let names = |names: &Names<String>| (0..names.len()).map(|at| names.name(at).clone()).collect();
         HandoverState {
             kinds: names(&self.site.kinds),
@@ -445,8 +394,8 @@
             endpoints,
             next_endpoint,
             dests: (0..self.dests.len()).map(|at| *self.dests.name(at)).collect(),
-            keys: self.keys.known.iter().map(|(key, known)| (key.clone(), known.id.0)).collect(),
-            next_key: self.keys.next,
+            keys,
+            next_key,
             ids: self.ids.left(),
             learnt: self.rules.learnt(),
         }
@@ -745,7 +694,7 @@
             text,
             product: self.table.find(&info.product).expect("terms last as long as their texts"),
             dest: DestId(self.dests.place(&info.dest)),
-            key: info.key.as_deref().and_then(|key| self.keys.known.get(key)).map(|known| known.id),
+            key: info.key.as_deref().and_then(|key| self.keys.find(key)),
             valid_until: Moment::from_millis(info.until_ms),
         }
     }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http;
 pub mod ids;
 pub mod intake;
+pub mod keys;
 pub mod limits;
 pub mod link;
 pub mod list;
