--- a/crates/sender/tests/sender/failing_calls.rs
+++ b/crates/sender/tests/sender/failing_calls.rs
@@ -1,18 +1,24 @@
 //! System calls fail for a moment, each in the ways that Linux documents for it.
 
 use crate::common::*;
-use crate::faults::errno::{EIO, ENOSPC};
+use crate::faults::errno::{EIO, ENOSPC, ETIMEDOUT};
 use crate::faults::{ACCEPT, CONNECT, Call, Plan, SOCKET};
 use crate::witness::{Saw, Witness, ask, hand_in_until_taken};
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Connections are open and about to carry their first request; accept fails for 1.5 s. Each request that is written has
 /// its answer: that no other connection can be taken is no reason to end these.
-fn answers_while_accept_fails(numbers: &[i32]) {
+fn answers_while_accept_fails(numbers: &[i32], shared: bool) {
     let (witness, folder) = (Witness::new(2, false), Folder::new());
     let plan = Plan::new(&folder);
-    let daemon = Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+    let command = plan.binds(command(&witness.config, &folder));
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let daemon = if shared { Daemon::sharing_by(&command, &socket) } else { Daemon::start_by(command) };
+    if shared {
+        daemon.line_with("listens on ");
+    }
     let mut rested = daemon.client();
     assert_eq!(ask(&mut rested, &text("free", "rested", 0, "k", b"hello")), Saw::Answer(202));
     let fresh: Vec<Client> = (0..30).map(|_| daemon.client()).collect();
@@ -40,8 +46,11 @@
 #[test]
 fn a_request_is_answered_while_accept_fails() {
     thread::scope(|scope| {
-        ACCEPT.into_iter().for_each(|number| _ = scope.spawn(move || answers_while_accept_fails(&[number])));
-        scope.spawn(|| answers_while_accept_fails(&ACCEPT));
+        ACCEPT
+            .into_iter()
+            .for_each(|number| _ = scope.spawn(move || answers_while_accept_fails(&[number], false)));
+        scope.spawn(|| answers_while_accept_fails(&ACCEPT, false));
+        scope.spawn(|| answers_while_accept_fails(&ACCEPT, true));
     });
 }
 
@@ -223,3 +232,36 @@
     assert!(refused.len() > 50, "{} were refused", refused.len());
     assert!(sent.is_empty(), "{} of {} refused texts were sent: {sent:?}", sent.len(), refused.len());
 }
+
+/// The watch breaks and no connection can be made for three seconds, which uses up none of the time within which a sender is
+/// told: discovery is asked again within it, and what it says is in force.
+#[test]
+fn a_list_is_asked_for_again_in_time_once_connections_can_be_made() {
+    thread::scope(|scope| {
+        for number in CONNECT.into_iter().chain([ETIMEDOUT]) {
+            scope.spawn(move || {
+                let (discovery, endpoint, other, folder) =
+                    (Host::open(), Host::open(), Host::open(), Folder::new());
+                let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+                let plan = Plan::new(&folder);
+                let daemon = Daemon::start_by(plan.binds(command(&config, &folder)));
+                let watch = discovery.next();
+                plan.fails(Call::Connect, 1000, &[number]);
+                watch.hang_up();
+                thread::sleep(Duration::from_secs(3));
+                plan.heals(Call::Connect);
+                let healed = Instant::now();
+                let again = discovery.next();
+                let after = healed.elapsed();
+                assert!(after < Duration::from_millis(4_500), "{number}: asked again after {after:?}");
+                let members = [member("e0", &endpoint, 0, "Terminating"), member("e1", &other, 0, "Ready")];
+                let change = serde_json::json!({"revision": 42, "complete": false, "members": members});
+                again.answer(ok_json(&change.to_string()));
+                daemon.counts("lists", 1);
+                assert_eq!(daemon.hand_in("free", "a", 0), 202);
+                other.next().status(200);
+                assert!(endpoint.is_quiet(), "{number}: called though it drains");
+            });
+        }
+    });
+}
--- a/crates/sender/tests/sender/list_changes.rs
+++ b/crates/sender/tests/sender/list_changes.rs
@@ -120,3 +120,39 @@
         "another destination",
     );
 }
+
+/// A whole list of 3,200 endpoints, written over many lines, takes the place of the one before.
+#[test]
+fn an_indented_list_of_3200_endpoints_is_read_whole() {
+    let (discovery, endpoint, other, folder) = (Host::open(), Host::open(), Host::open(), Folder::new());
+    let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    let daemon = Daemon::start(&config, &folder);
+    let mut members = vec![member("e0", &endpoint, 0, "Terminating"), member("e1", &other, 0, "Ready")];
+    members.extend((2..3200).map(|at| member(&format!("e{at}"), &endpoint, at % 640 + 1, "Ready")));
+    let list = json!({"revision": 42, "complete": true, "members": members});
+    discovery.next().answer(ok_json(&serde_json::to_string_pretty(&list).expect("plain data")));
+    daemon.counts("lists", 1);
+    assert_eq!(daemon.hand_in("free", "a", 0), 202);
+    other.next().status(200);
+    daemon.counts("delivered", 1);
+    assert!(endpoint.is_quiet(), "called though it drains");
+}
+
+/// Where lists are pushed a new process asks at once, unbidden, and goes by what it hears: the list that it knew may be old.
+#[test]
+fn a_new_process_is_told_of_what_the_agent_has() {
+    let (discovery, endpoint, other, folder) = (Host::open(), Host::open(), Host::open(), Folder::new());
+    let mut config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    config["settings"]["membership-mode"] = json!("automatic");
+    let daemon = Daemon::start(&config, &folder);
+    let started = Instant::now();
+    let watch = discovery.next();
+    assert!(started.elapsed() < Duration::from_millis(500), "asked after {:?}", started.elapsed());
+    let changes = [member("e0", &endpoint, 0, "Gone"), member("e1", &other, 0, "Ready")];
+    watch.answer(page(42, false, &changes));
+    daemon.counts("lists", 1);
+    assert_eq!(daemon.hand_in("free", "a", 0), 202);
+    other.next().status(200);
+    daemon.counts("delivered", 1);
+    assert!(endpoint.is_quiet(), "called though it is gone");
+}
