--- a/crates/sender/tests/faults/faults.c
+++ b/crates/sender/tests/faults/faults.c
@@ -19,7 +19,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { ACCEPT, SOCKET, CONNECT, WAIT, RECEIVE, SHORT, BREAK, FILE_WRITE, HALF_WRITE, CALLS };
+enum { ACCEPT, SOCKET, CONNECT, WAIT, RECEIVE, SHORT, BREAK, FILE_WRITE, HALF_WRITE, BOOT_CLOCK, CALLS };
 enum { ERRNOS = 16, DESCRIPTORS = 65536 };
 
 struct rule {
@@ -74,6 +74,8 @@
 }
 
 int clock_gettime(clockid_t clock, struct timespec *at) {
+    if (clock == CLOCK_BOOTTIME && fails(BOOT_CLOCK))
+        return -1;
     int done = (int)syscall(SYS_clock_gettime, clock, at);
     if (!done && plan && clock == CLOCK_REALTIME)
         at->tv_sec += plan->wall_step_ms / 1000;
--- a/crates/sender/tests/sender/clock_steps.rs
+++ b/crates/sender/tests/sender/clock_steps.rs
@@ -1,7 +1,8 @@
 //! The machine's wall clock is stepped between two lives of a sender, and between two processes of one.
 
 use crate::common::*;
-use crate::faults::Plan;
+use crate::faults::errno::EINVAL;
+use crate::faults::{Call, Plan};
 use crate::witness::{Witness, hand_in_until_taken};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -78,3 +79,21 @@
         }
     });
 }
+
+/// A system without the clock of the boot: the sender starts, goes by the wall clock as it did before there was another, and
+/// a text outlives a restart.
+#[test]
+fn a_sender_without_a_clock_of_the_boot_goes_by_the_wall_clock() {
+    let (witness, folder) = (Witness::new(1, true), Folder::new());
+    let plan = Plan::new(&folder);
+    plan.fails(Call::BootClock, 1000, &[EINVAL]);
+    let start = || Daemon::start_by(plan.binds(command(&witness.config, &folder)));
+    let mut daemon = start();
+    hand_in_until_taken(&daemon, &text("free", "t", 0, "k", b"hello"));
+    daemon.kill();
+    witness.falls_silent(false);
+    let _daemon = start();
+    assert!(plan.failed(Call::BootClock) > 0, "nobody asked for it");
+    let open = witness.without_end(&["t".to_owned()], Duration::from_secs(15));
+    assert!(open.is_empty() && witness.seen().notices.is_empty());
+}
--- a/crates/sender/tests/sender/faults.rs
+++ b/crates/sender/tests/sender/faults.rs
@@ -25,13 +25,15 @@
     FileWrite,
     /// A write of a file takes half of what it was given.
     HalfWrite,
+    /// `clock_gettime` for the clock of the boot.
+    BootClock,
 }
 
 const ERRNOS: usize = 16;
 /// One rule in the file: how many of a thousand calls fail, with which numbers, and how many have.
 const RULE: usize = 4 * (1 + ERRNOS + 1);
 const RULES_AT: usize = 8;
-const CALLS: usize = 9;
+const CALLS: usize = 10;
 
 fn library() -> &'static Path {
     static BUILT: OnceLock<PathBuf> = OnceLock::new();
@@ -108,6 +110,7 @@
     pub const EACCES: i32 = 13;
     pub const ENFILE: i32 = 23;
     pub const EMFILE: i32 = 24;
+    pub const EINVAL: i32 = 22;
     pub const ENOSPC: i32 = 28;
     pub const EPROTO: i32 = 71;
     pub const EADDRNOTAVAIL: i32 = 99;
