Clock: a system that refuses the clock of the boot is no end of the process

Cause: rustix unwraps the answer of clock_gettime for a known clock. Change: the call that returns its error is used, once at the start, and without the clock the sender goes by the wall clock as it did before.

--- a/crates/sender/src/boot_clock.rs
+++ b/crates/sender/src/boot_clock.rs
@@ -6,7 +6,7 @@
 //! lives of one boot go by it.
 
 use crate::log;
-use rustix::time::{ClockId, clock_gettime};
+use rustix::time::{ClockId, DynamicClockId, clock_gettime_dynamic};
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Write};
 use std::path::Path;
@@ -26,30 +26,28 @@
 /// How often a file that could not be written is tried again.
 const WRITE_AGAIN: Duration = Duration::from_millis(250);
 
-/// The clock of the machine's present boot.
+/// The clock of the machine's present boot, as it was read once.
 #[derive(Clone, Debug)]
 pub struct BootClock {
     id: String,
+    /// Since the boot, time asleep included, in milliseconds.
+    pub since_boot_ms: f64,
 }
 
 impl BootClock {
-    /// None where the system doesn't tell one boot from another.
+    /// None where the system doesn't tell one boot from another, or has no such clock.
     pub fn read() -> Option<BootClock> {
         let id = fs::read_to_string(BOOT_ID).ok()?.trim().to_owned();
         let is_name = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic());
-        is_name.then_some(BootClock { id })
-    }
-
-    /// Milliseconds since the boot, those in which the machine slept included.
-    pub fn since_boot_ms(&self) -> f64 {
-        let at = clock_gettime(ClockId::Boottime);
-        at.tv_sec as f64 * 1e3 + at.tv_nsec as f64 / 1e6
+        let at = clock_gettime_dynamic(DynamicClockId::Known(ClockId::Boottime)).ok()?;
+        let since_boot_ms = at.tv_sec as f64 * 1e3 + at.tv_nsec as f64 / 1e6;
+        is_name.then_some(BootClock { id, since_boot_ms })
     }
 
     /// The Unix time in milliseconds that the boot's zero is taken for in a folder. Where nobody has said so since the boot
-    /// it is worked out from the wall clock, and kept for the lives to come.
+    /// it is worked out from the wall clock as of this reading, and kept for the lives to come.
     pub fn origin_ms(&self, folder: &Path, wall_ms: f64) -> f64 {
-        let by_wall = wall_ms - self.since_boot_ms();
+        let by_wall = wall_ms - self.since_boot_ms;
         let kept = fs::read_to_string(folder.join(FILE)).ok().and_then(|text| self.parse(&text));
         if let Some(origin) = kept {
             let step = by_wall - origin;
--- a/crates/sender/src/boot_clock/tests.rs
+++ b/crates/sender/src/boot_clock/tests.rs
@@ -8,15 +8,19 @@
     path
 }
 
+fn booted(id: &str) -> BootClock {
+    BootClock { id: id.into(), since_boot_ms: 5_000.0 }
+}
+
 #[test]
 fn the_first_life_of_a_boot_says_how_all_of_them_count() {
-    let (folder, boot) = (folder("lives"), BootClock { id: "one".into() });
+    let (folder, boot) = (folder("lives"), booted("one"));
     let first = boot.origin_ms(&folder, 1e12);
     for stepped in [1e12 - 3.6e6, 1e12 + 3.6e6] {
         assert_eq!(boot.origin_ms(&folder, stepped), first);
     }
     // Nothing of it holds after another boot.
-    let next = BootClock { id: "two".into() };
+    let next = booted("two");
     assert!((next.origin_ms(&folder, 2e12) - first) > 9e11);
     assert!(boot.origin_ms(&folder, 1e12 + 5e6) > first + 4e6);
     fs::remove_dir_all(folder).expect("it was there");
@@ -24,7 +28,7 @@
 
 #[test]
 fn a_file_cut_off_at_any_byte_says_nothing() {
-    let boot = BootClock { id: "0a-1b".into() };
+    let boot = booted("0a-1b");
     let text = boot.text(1_796_213_772_546.4);
     assert_eq!(boot.parse(&text), Some(1_796_213_772_546.4));
     for cut in 0..text.len() {
@@ -34,7 +38,7 @@
 
 #[test]
 fn a_folder_that_can_not_be_written_is_tried_again() {
-    let (folder, boot) = (folder("later"), BootClock { id: "one".into() });
+    let (folder, boot) = (folder("later"), booted("one"));
     fs::remove_dir_all(&folder).expect("just made");
     let first = boot.origin_ms(&folder, 1e12);
     fs::create_dir_all(&folder).expect("made again");
--- a/crates/sender/src/clock.rs
+++ b/crates/sender/src/clock.rs
@@ -38,9 +38,8 @@
     pub fn of_folder(folder: &Path) -> Clock {
         match BootClock::read() {
             Some(boot) => {
-                let start = Instant::now();
-                let wall = wall_ms();
-                Clock { start, at_start_ms: boot.origin_ms(folder, wall) + boot.since_boot_ms() }
+                let (start, wall) = (Instant::now(), wall_ms());
+                Clock { start, at_start_ms: boot.origin_ms(folder, wall) + boot.since_boot_ms }
             }
             None => Clock::start(),
         }
