Tests: figures of the settings kept to one, on sockets

Need: calls out at once, texts held, texts in a call and submits of a text had no test at exactly their figure on real sockets.

--- a/crates/sender/tests/sender/extremes.rs
+++ b/crates/sender/tests/sender/extremes.rs
@@ -229,3 +229,62 @@
         assert!(matches!(status, 202 | 503), "{status}");
     }
 }
+
+/// The figures of the settings are kept exactly: so many calls out, texts held, texts in a call and submits of a text, and not
+/// one more.
+#[test]
+fn figures_of_the_settings_are_kept_to_one() {
+    let hosts: Vec<Host> = (0..6).map(|_| Host::open()).collect();
+    let (discovery, folder) = (Host::open(), Folder::new());
+    let members: Vec<_> = hosts
+        .iter()
+        .enumerate()
+        .map(|(at, host)| member(&format!("e{at}"), host, at as u64, "Ready"))
+        .collect();
+    let mut config = config(&members, discovery.address);
+    config["settings"]["family-info"]["call-slots"] = json!(4);
+    config["settings"]["family-info"]["kind-batch"] = json!([3]);
+    config["settings"]["ceilings"]["most-held"] = json!(12);
+    config["settings"]["ceilings"]["max-attempts"] = json!(2);
+    let daemon = Daemon::start(&config, &folder);
+    let statuses: Vec<u16> = (0..20).map(|at| daemon.hand_in("free", &format!("f{at}"), at % 6)).collect();
+    assert!(statuses.iter().all(|status| matches!(status, 202 | 503)), "{statuses:?}");
+    let taken = statuses.iter().filter(|status| **status == 202).count();
+    // Those that made room have been given up.
+    let over = (daemon.counter("nacked") + daemon.counter("undeliverable")) as usize;
+    assert!((11..=12).contains(&(taken - over)), "{taken} taken on, {over} of them given up");
+    thread::sleep(Duration::from_millis(300));
+    let out: Vec<Visit> = hosts.iter().filter_map(|host| host.next_within(Duration::ZERO)).collect();
+    assert!(hosts.iter().all(Host::is_quiet), "two calls at once at a destination of which little is known");
+    assert!(!out.is_empty() && out.len() <= 4, "{} calls are out", out.len());
+    let mut calls = std::collections::BTreeMap::new();
+    let mut count = |visit: &Visit| {
+        let body = String::from_utf8(visit.request.body.clone()).expect("text");
+        let batch = visit.request.path == "/v1/messages:batch";
+        let lines = body.lines().filter(|line| line.starts_with('f') && line.ends_with(" 5"));
+        let ids: Vec<String> = match batch {
+            true => lines.map(|line| line.split(' ').next().unwrap_or_default().to_owned()).collect(),
+            false => vec![visit.header("x-request-id").to_owned()],
+        };
+        assert!(ids.len() <= 3, "{} texts in a call", ids.len());
+        ids.into_iter().for_each(|id| *calls.entry(id).or_insert(0) += 1);
+    };
+    out.into_iter().for_each(|visit| {
+        count(&visit);
+        visit.status(500);
+    });
+    let (mut ended, by) = (0, Instant::now() + Duration::from_secs(20));
+    while ended < taken && Instant::now() < by {
+        hosts.iter().filter_map(|host| host.next_within(Duration::from_millis(2))).for_each(|visit| {
+            count(&visit);
+            visit.status(500);
+        });
+        let Some(visit) = discovery.next_within(Duration::from_millis(2)) else { continue };
+        if visit.request.path == "/reports" {
+            ended += visit.request.body.iter().filter(|byte| **byte == b'\n').count();
+            visit.status(204);
+        }
+    }
+    assert_eq!(ended, taken);
+    assert!(calls.values().any(|calls| *calls == 2) && calls.values().all(|calls| *calls <= 2), "{calls:?}");
+}
