--- a/crates/sender/tests/sender/soak.rs
+++ b/crates/sender/tests/sender/soak.rs
@@ -86,7 +86,11 @@
 
     fn comes(&self, visit: &Visit, id: &str) {
         let mut record = self.record();
+        // One that came before the end was told may be looked at after it.
+        let told_later = record.ended.get(id).is_some_and(|told| *told >= visit.came);
+        let told = if told_later { record.seen.reported.remove_entry(id) } else { None };
         record.seen.comes(id, visit.turn);
+        record.seen.reported.extend(told);
         let doubt = record.first_doubt.get(id).copied();
         if let Some(first) = doubt.filter(|_| id.starts_with('m') || id.starts_with('q')) {
             let age = visit.came.saturating_duration_since(first);
