--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -474,3 +474,21 @@
 fn a_cold_destination_bears_nine_hundred_senders() {
     assert_eq!(of_any_size(&[900], seeds(2)), [""; 0]);
 }
+
+/// The seeds of two hundred in which the bound is broken; both tests are in KNOWN-RED.txt.
+fn broken_in(senders: usize, budget: f64, listed: ListedRate, seeds: &[u64]) -> Vec<u64> {
+    let broken =
+        |seed: &u64| Play::run(Case { senders, shape: Shape::Equal, budget, listed, seed: *seed }).broken;
+    seeds.iter().copied().filter(broken).collect()
+}
+
+#[test]
+fn a_cold_destination_of_five_calls_bears_nine_hundred_senders_in_hard_seeds() {
+    assert_eq!(broken_in(900, 5.0, ListedRate::Exact, &[56, 61, 105, 132, 165]), [0; 0]);
+    assert_eq!(broken_in(900, 5.0, ListedRate::Silent, &[49, 53, 56, 61, 105, 117, 132, 152, 165]), [0; 0]);
+}
+
+#[test]
+fn a_cold_destination_of_twenty_calls_bears_ten_senders_in_a_hard_seed() {
+    assert_eq!(broken_in(10, 20.0, ListedRate::Exact, &[194]), [0; 0]);
+}
