--- a/crates/sender/src/boot_clock.rs
+++ b/crates/sender/src/boot_clock.rs
@@ -6,9 +6,10 @@
 //! lives of one boot go by it.
 
 use crate::log;
+use crate::whole_file::{Lasting, replace};
 use rustix::time::{ClockId, DynamicClockId, clock_gettime_dynamic};
-use std::fs::{self, File};
-use std::io::{self, ErrorKind, Write};
+use std::fs;
+use std::io;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
@@ -17,7 +18,6 @@
 const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
 
 const FILE: &str = "clock";
-const FILE_NEW: &str = "clock.new";
 const HEAD: &str = "indigomast-clock 1";
 
 /// A difference from the wall clock that is worth a line in the log, in milliseconds.
@@ -82,19 +82,8 @@
         (id == self.id).then_some(origin)
     }
 
-    /// Whole or not at all, whenever the process ends.
     fn keep(&self, folder: &Path, origin_ms: f64) -> io::Result<()> {
-        let path = folder.join(FILE_NEW);
-        let written = File::create(&path)
-            .and_then(|mut file| file.write_all(self.text(origin_ms).as_bytes()))
-            .and_then(|()| fs::rename(&path, folder.join(FILE)));
-        if let Err(e) = &written
-            && e.kind() != ErrorKind::NotFound
-        {
-            // On a full disk it would only take more room.
-            _ = fs::remove_file(&path);
-        }
-        written
+        replace(folder, FILE, self.text(origin_ms).as_bytes(), Lasting::Process)
     }
 }
 
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -978,6 +978,9 @@
     /// Lets ends be known. One that is not in the journal is held back: a next life would go on with its text, whose client
     /// has been told. Not beyond the text's time, after which no life does.
     fn send_notices(&mut self, written: bool) {
+        if self.notes.is_empty() {
+            return;
+        }
         let now = self.clock.now();
         let may_go = |notice: &mut Notice| {
             let owed = self.wal.owed().get(&notice.text.0);
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -5,12 +5,13 @@
 //! goes over in a file that is written and read under that lock only.
 
 use crate::list::Listed;
+use crate::whole_file::{Lasting, replace};
 use indigomast::api::EndpointId;
 use indigomast::rules::Learnt;
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -18,7 +19,6 @@
 const NEXT: &str = "next";
 // The file keeps the name that earlier versions look for.
 const STATE_FILE: &str = "estate";
-const STATE_FILE_NEW: &str = "estate.new";
 
 /// Before the checksum: which form the rest has. A successor of another form starts as after a kill.
 const FORM: u32 = 1;
@@ -109,16 +109,8 @@
     /// Leaves it to the next owner.
     pub fn write(&self, folder: &Path) -> io::Result<()> {
         let payload = postcard::to_stdvec(self).map_err(io::Error::other)?;
-        let path = folder.join(STATE_FILE_NEW);
-        let mut file = File::create(&path)?;
         let head = [FORM.to_le_bytes(), crc32fast::hash(&payload).to_le_bytes()].concat();
-        let written = file.write_all(&head).and_then(|()| file.write_all(&payload));
-        let moved = written.and_then(|()| fs::rename(&path, folder.join(STATE_FILE)));
-        if moved.is_err() {
-            // On a full disk it would only take more room.
-            _ = fs::remove_file(&path);
-        }
-        moved
+        replace(folder, STATE_FILE, &[head, payload].concat(), Lasting::Process)
     }
 
     /// Takes what the last owner left, if it left in order and to a process like this one.
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -26,9 +26,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// After a failure that is no shortage accepting is tried again this soon; the pause doubles while it goes on.
-const FIRST_ACCEPT_PAUSE: Duration = Duration::from_micros(500);
-
 pub struct Intake {
     pub clock: Clock,
     pub limits: Arc<Limits>,
@@ -309,7 +306,7 @@
         log!("no connection can be taken: {e}");
         if !is_shortage(e) {
             // Of one connection, as a rule, and the next one waits behind it.
-            let pause = FIRST_ACCEPT_PAUSE * (1 << failures.count.min(8));
+            let pause = self.limits.first_accept_pause * (1 << (failures.count - 1).min(8));
             return thread::sleep(pause.min(self.limits.accept_pause));
         }
         self.counters.no_descriptor.add(1);
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod threads;
 pub mod versions;
 pub mod wal;
+pub mod whole_file;
 
 use ::log::LevelFilter;
 use clock::Clock;
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -161,6 +161,9 @@
     /// Where there is no room, connections go whose request came to a halt for so long.
     pub client_pause: Duration,
     pub accept_pause: Duration,
+    /// After a failure that is no shortage accepting is tried again this soon; the pause doubles while it goes on, up to the
+    /// one above.
+    pub first_accept_pause: Duration,
     /// Callers at the second address, and how long one may take over its call. Where there is no room the oldest goes.
     pub callers: usize,
     pub caller_time: Duration,
@@ -303,6 +306,7 @@
             helpers: 8,
             helper_rest: Duration::from_millis(1000),
             accept_pause: Duration::from_millis(20),
+            first_accept_pause: Duration::from_millis(1),
             callers: grant.callers,
             caller_time: Duration::from_secs(5),
             caller_beat: Duration::from_millis(250),
--- a/crates/sender/src/versions.rs
+++ b/crates/sender/src/versions.rs
@@ -5,15 +5,15 @@
 //! version in the change can read. Only once a change is declared final is the floor raised, durably; from then on a
 //! version that doesn't read it is refused before it touches anything. `docs/design/rollout.md` has what was weighed.
 
+use crate::whole_file::{Lasting, replace};
 use indigomast_site::Complaint;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::fs::{self, File};
-use std::io::{self, ErrorKind, Write};
+use std::fs;
+use std::io::{self, ErrorKind};
 use std::path::Path;
 
 const FLOOR: &str = "floor";
-const FLOOR_NEW: &str = "floor.new";
 const HEAD: &str = "indigomast floor 1";
 /// What a folder without a floor is at.
 const FIRST: u32 = 1;
@@ -121,15 +121,7 @@
             let number = floor.of(format.name).max(format.newest);
             floor.0.insert(format.name.to_owned(), number);
         }
-        let path = folder.join(FLOOR_NEW);
-        let mut file = File::create(&path)?;
-        let written = file.write_all(floor.text().as_bytes()).and_then(|()| file.sync_all());
-        let moved = written.and_then(|()| fs::rename(&path, folder.join(FLOOR)));
-        if moved.is_err() {
-            _ = fs::remove_file(&path);
-        }
-        moved?;
-        File::open(folder)?.sync_all()?;
+        replace(folder, FLOOR, floor.text().as_bytes(), Lasting::Machine)?;
         Ok(floor)
     }
 }
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -70,6 +70,14 @@
     }
 }
 
+/// The id and the status of each end that a notice tells of.
+pub fn ends_told(notice: &Visit) -> Vec<(String, String)> {
+    let lines = std::str::from_utf8(&notice.request.body).expect("text").lines();
+    let ends = lines.map(|line| serde_json::from_str::<Value>(line).expect("JSON"));
+    let part = |end: &Value, name: &str| end[name].as_str().unwrap_or_default().to_owned();
+    ends.map(|end| (part(&end, "id"), part(&end, "status"))).collect()
+}
+
 /// A server each of whose requests waits in a queue until the test answers it.
 pub struct Host {
     pub address: SocketAddr,
@@ -398,6 +406,11 @@
         count
     }
 
+    /// How many descriptors it has open; none once it has ended.
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// The most memory that it has had, in megabytes.
     pub fn peak_memory(&self) -> f64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it is there");
--- a/crates/sender/tests/sender/extremes.rs
+++ b/crates/sender/tests/sender/extremes.rs
@@ -2,11 +2,10 @@
 
 use crate::common::*;
 use crate::faults::Plan;
+use crate::late::Late;
 use crate::witness::{Saw, Witness, ask, hand_in_until_taken};
-use rustix::net::listen;
 use serde_json::json;
-use std::io::Read;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::Shutdown;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -70,14 +69,9 @@
 /// before that is over, though the connection comes up.
 #[test]
 fn a_call_that_still_connects_heeds_a_wait() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listen(&listener, 0).expect("it listens");
-    let late = listener.local_addr().expect("bound");
-    let fills = TcpStream::connect(late).expect("there is room for one");
-    let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
-    let mut second = member("e1", &endpoint, 0, "Ready");
-    second["host_port"] = json!(late.to_string());
-    let mut config = config(&[member("e0", &endpoint, 0, "Ready"), second], discovery.address);
+    let (discovery, endpoint, folder, late) = (Host::open(), Host::open(), Folder::new(), Late::open());
+    let members = [member("e0", &endpoint, 0, "Ready"), late.member("e1", 0, "Ready")];
+    let mut config = config(&members, discovery.address);
     config["settings"]["ceilings"]["connect-timeout-ms"] = json!(5000.0);
     let daemon = Daemon::start(&config, &folder);
     // One goes to each.
@@ -87,21 +81,8 @@
     daemon.counts("calls", 2);
     let wait = Duration::from_millis(3_000);
     visit.answer(turned_away(429, wait.as_secs_f64()));
-    let told = Instant::now();
-    drop(fills);
-    let (mut open, mut came): (Vec<TcpStream>, Option<Instant>) = (Vec::new(), None);
-    listener.set_nonblocking(true).expect("a mode is set");
-    while came.is_none() && told.elapsed() < wait - LET_THROUGH {
-        if let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(true).expect("a mode is set");
-            open.push(stream);
-        }
-        let called = open.iter_mut().any(|stream| matches!(stream.read(&mut [0]), Ok(1)));
-        came = called.then(Instant::now);
-        thread::sleep(Duration::from_millis(5));
-    }
-    let came = came.filter(|came| came.duration_since(told) > LET_THROUGH);
-    assert!(came.is_none(), "called {:?} after a wait of {wait:?} was told", came.map(|came| came - told));
+    daemon.counts("full", 1);
+    assert!(!late.sees_a_call(wait - LET_THROUGH * 2), "called while the wait goes on");
     assert!(endpoint.is_quiet(), "called while the wait goes on");
 }
 
@@ -293,3 +274,54 @@
     assert_eq!(ended, taken);
     assert!(calls.values().any(|calls| *calls == 2) && calls.values().all(|calls| *calls <= 2), "{calls:?}");
 }
+
+/// A text is told to wait beyond its time: it is given up, and its end is told at once, with a time to come back only where the
+/// settings allow one.
+#[test]
+fn what_is_given_up_is_told_at_once() {
+    for advises in [true, false] {
+        let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+        let mut config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+        config["settings"]["ceilings"]["retry-after"] = json!(advises);
+        let daemon = Daemon::start(&config, &folder);
+        assert_eq!(daemon.hand_in("free", "t", 0), 202);
+        endpoint.next().answer(turned_away(429, 30.0));
+        let told = Instant::now();
+        let notice = loop {
+            let visit = discovery.next();
+            if visit.request.path == "/reports" {
+                break visit;
+            }
+        };
+        // A beat of the decisions is 20 ms; the rest is for a busy machine.
+        assert!(notice.came.duration_since(told) < Duration::from_millis(1_000), "{:?}", notice.came - told);
+        assert_eq!(ends_told(&notice), [("t".to_owned(), "deferred".to_owned())]);
+        let body = String::from_utf8(notice.request.body.clone()).expect("text");
+        assert_eq!(body.contains("again_ms"), advises, "{body}");
+        notice.status(204);
+    }
+}
+
+/// Settings with names that nobody knows yet are taken over; clients are heard at the address that was told and at no other;
+/// the class is the first part of the path, whatever follows it.
+#[test]
+fn unknown_settings_other_addresses_and_longer_paths_are_taken_as_the_pages_say() {
+    let (witness, folder) = (Witness::new(1, false), Folder::new());
+    let mut config = witness.config.clone();
+    config["novel"] = json!({"a": 1});
+    config["settings"]["novel"] = json!([1, 2]);
+    config["settings"]["ceilings"]["novel-ms"] = json!(5.0);
+    config["settings"]["categories"][0]["novel"] = json!("x");
+    config["known"]["members"][0]["novel"] = json!(null);
+    let daemon = Daemon::start(&config, &folder);
+    let elsewhere = std::net::SocketAddr::from(([127, 0, 0, 2], daemon.address.port()));
+    assert!(Client::try_at(elsewhere).is_none(), "it listens at {elsewhere} too");
+    let ids = ["plain", "part", "query", "fragment"];
+    for (id, path) in ids.into_iter().zip(["/free", "/free/more", "/free?a=b", "/free#c"]) {
+        let raw = String::from_utf8(text("free", id, 0, "k", b"hello")).expect("text");
+        hand_in_until_taken(&daemon, raw.replace("POST /free ", &format!("POST {path} ")).as_bytes());
+    }
+    let ids = ids.map(str::to_owned);
+    assert_eq!(witness.without_end(&ids, Duration::from_secs(10)), [""; 0]);
+    assert!(ids.iter().all(|id| witness.seen().delivered.contains_key(id)));
+}
--- a/crates/sender/tests/sender/handover.rs
+++ b/crates/sender/tests/sender/handover.rs
@@ -284,3 +284,51 @@
     std::fs::remove_dir(&blocked).expect("empty");
     world.replace(&mut old);
 }
+
+/// A crowd holds as many connections as one process may have while another takes over, and goes on coming. The two together
+/// never have more descriptors than one is granted.
+#[test]
+fn two_processes_together_hold_no_more_descriptors_than_one_may() {
+    const GRANTED: usize = 256;
+    let mut world = World::new();
+    world.config["limits"]["sockets"] = json!(GRANTED);
+    let mut old = world.first();
+    let address = old.address;
+    let over = AtomicBool::new(false);
+    let most = thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut open = std::collections::VecDeque::new();
+            while !over.load(Ordering::Relaxed) {
+                open.extend(Client::try_at(address));
+                // More than one process has places for.
+                if open.len() > 2 * GRANTED {
+                    open.pop_front();
+                }
+            }
+        });
+        thread::sleep(Duration::from_millis(1500));
+        let (new, control) = world.start();
+        let began = Instant::now();
+        let (by, mut most) = (began + Duration::from_secs(8), (0, 0, 0));
+        while Instant::now() < by && !old.has_ended() {
+            let (a, b) = (old.descriptors(), new.descriptors());
+            if a + b > most.0 {
+                most = (a + b, a, b);
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        over.store(true, Ordering::Relaxed);
+        assert_eq!(old.wait(), Some(0));
+        new.line_with("listens on ");
+        assert_eq!(ready(control), 200);
+        println!("taken over after {:?}; descriptors in all, old and new: {most:?}", began.elapsed());
+        most
+    });
+    assert!(
+        most.0 <= GRANTED,
+        "{} descriptors, {} of the old process and {} of the new",
+        most.0,
+        most.1,
+        most.2
+    );
+}
--- a/crates/sender/tests/sender/kills.rs
+++ b/crates/sender/tests/sender/kills.rs
@@ -164,10 +164,7 @@
                 continue;
             }
             let mut seen = ours.lock().expect("sound");
-            for line in std::str::from_utf8(&visit.request.body).expect("text").lines() {
-                let end: Value = serde_json::from_str(line).expect("JSON");
-                let part = |name: &str| end[name].as_str().unwrap_or_default().to_owned();
-                let (id, status) = (part("id"), part("status"));
+            for (id, status) in ends_told(&visit) {
                 let told = (visit.turn, status.clone());
                 let (told_by, before) = seen.reported.entry(id.clone()).or_insert(told);
                 *told_by = visit.turn.min(*told_by);
--- a/crates/sender/tests/sender/list_changes.rs
+++ b/crates/sender/tests/sender/list_changes.rs
@@ -1,10 +1,8 @@
 //! An entry of the list changes in more than its phase: a text goes only where the list has its destination now.
 
 use crate::common::*;
-use rustix::net::listen;
+use crate::late::Late;
 use serde_json::{Value, json};
-use std::io::Read;
-use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -40,46 +38,6 @@
     [false, true].into_iter().for_each(follows_another_destination);
 }
 
-/// An address that takes no connection yet: a first one fills its backlog, and packets of others are dropped.
-struct Late {
-    listener: TcpListener,
-    fills: TcpStream,
-}
-
-impl Late {
-    fn open() -> Late {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        listen(&listener, 0).expect("it listens");
-        let fills = TcpStream::connect(listener.local_addr().expect("bound")).expect("there is room for one");
-        Late { listener, fills }
-    }
-
-    fn member(&self, name: &str, dest: u64, phase: &str) -> Value {
-        let mut listed = json!({"id": name, "locality": "a", "flavor": "k", "cell": dest, "phase": phase,
-            "size": 1.0, "up_since_ms": 0});
-        listed["host_port"] = json!(self.listener.local_addr().expect("bound").to_string());
-        listed
-    }
-
-    /// Takes connections from now on, and says whether a call comes on one within this time.
-    fn sees_a_call(self, within: Duration) -> bool {
-        drop(self.fills);
-        self.listener.set_nonblocking(true).expect("a mode is set");
-        let (by, mut open) = (Instant::now() + within, Vec::new());
-        while Instant::now() < by {
-            if let Ok((stream, _)) = self.listener.accept() {
-                stream.set_nonblocking(true).expect("a mode is set");
-                open.push(stream);
-            }
-            if open.iter_mut().any(|stream: &mut TcpStream| matches!(stream.read(&mut [0]), Ok(1))) {
-                return true;
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-        false
-    }
-}
-
 /// A call waits for its connection while the list says that another endpoint is at that address now, of another
 /// destination. It does not leave, whatever comes of the connection, and the text goes where its destination is.
 fn is_not_called_at_an_address_that_changed_hands(change: impl Fn(&Late, &Host) -> Vec<Value>, what: &str) {
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod interrupted_calls;
 mod kills;
+mod late;
 mod list_changes;
 mod operations;
 mod owed;
--- a/crates/sender/tests/sender/owed.rs
+++ b/crates/sender/tests/sender/owed.rs
@@ -586,3 +586,25 @@
         assert_eq!(next.owed().len(), 1, "{bytes}");
     }
 }
+
+/// What was asked to outlast the machine is written, and its sync fails: a text may be found by the next life, so it is not
+/// refused as harmless.
+#[test]
+fn a_text_whose_sync_failed_is_in_doubt() {
+    let mut limits = limits();
+    limits.journal.durability = Durability::Batch;
+    let promised = |store: Simulated| {
+        let mut wal = Wal::on(store, &limits, now()).expect("opens");
+        wal.take(info(9), vec![9; 60].into(), now()).expect("room");
+        wal.flush().expect("nothing fails yet");
+        wal
+    };
+    let begun = promised(Simulated::new()).into_store().calls();
+    // The write itself, then its sync.
+    let mut wal = promised(Simulated::new().fault(begun + 1, Fault::Error(ErrorKind::Other)));
+    let text = wal.take(info(0), vec![7; 60].into(), now()).expect("room");
+    assert!(wal.flush().is_err());
+    assert!(wal.may_be_found(text), "it was written");
+    let found = Wal::on(wal.into_store().after_kill(), &limits, now()).expect("opens");
+    assert!(found.owed().values().any(|owed| owed.info.id == "t0"));
+}
--- a/crates/sender/tests/sender/soak.rs
+++ b/crates/sender/tests/sender/soak.rs
@@ -184,10 +184,7 @@
             watches.push(visit);
             continue;
         }
-        for line in std::str::from_utf8(&visit.request.body).expect("text").lines() {
-            let end: Value = serde_json::from_str(line).expect("JSON");
-            let part = |name: &str| end[name].as_str().unwrap_or_default().to_owned();
-            let (id, status) = (part("id"), part("status"));
+        for (id, status) in ends_told(&visit) {
             let mut record = shared.record();
             record.ended.entry(id.clone()).or_insert_with(Instant::now);
             record.seen.reported.entry(id).or_insert((visit.turn, status));
--- a/crates/sender/tests/sender/witness.rs
+++ b/crates/sender/tests/sender/witness.rs
@@ -91,11 +91,9 @@
                 watches.push(visit);
                 continue;
             }
-            for line in std::str::from_utf8(&visit.request.body).expect("text").lines() {
-                let end: Value = serde_json::from_str(line).expect("JSON");
-                let part = |name: &str| end[name].as_str().unwrap_or_default().to_owned();
+            for (id, status) in ends_told(&visit) {
                 let mut seen = seen.lock().expect("sound");
-                seen.notices.entry(part("id")).or_insert((Instant::now(), part("status")));
+                seen.notices.entry(id).or_insert((Instant::now(), status));
             }
             visit.status(204);
         }
