Keep: an address that is given out is not given out again before all others

Change: free_address takes ports in turn from a beginning of each process's own, in place of drawing each; the test of control processes no longer looks for repeats itself. Two processes may still draw the same one before either listens: where a keeper of tests/rollout.rs says that its port was taken, the rig gives it another file with other ports, and any other complaint fails as before.

--- a/crates/cli/tests/rollout.rs
+++ b/crates/cli/tests/rollout.rs
@@ -108,6 +108,11 @@
 }
 
 fn keep(file: &Path) -> (Child, SocketAddr, SocketAddr) {
+    try_keep(file).unwrap_or_else(|said| panic!("{said:?}"))
+}
+
+/// What the keeper said, where it did not come up.
+fn try_keep(file: &Path) -> Result<(Child, SocketAddr, SocketAddr), Vec<String>> {
     let mut child =
         program(&["keep", &file.display().to_string()]).stderr(Stdio::piped()).spawn().expect("it starts");
     let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
@@ -116,13 +121,16 @@
         said.push(line.clone());
         line.contains("hears orders at")
     });
-    let line = line.unwrap_or_else(|| panic!("{said:?}"));
+    let Some(line) = line else {
+        _ = child.wait();
+        return Err(said);
+    };
     thread::spawn(move || lines.for_each(drop));
     let word = |after: &str| {
         let rest = line.split(after).nth(1).expect("it says so");
         rest.split_whitespace().next().and_then(|word| word.parse().ok()).expect("an address")
     };
-    (child, word("hears orders at "), word("clients at "))
+    Ok((child, word("hears orders at "), word("clients at ")))
 }
 
 impl Keeper {
@@ -188,15 +196,24 @@
             let file = own.join("keep.toml");
             // Ports of one's own, so that another keeper finds the same ones.
             let free = || indigomast_keep::process::free_address().expect("a port");
-            let text = format!(
-                "name = \"s{at}\"\nlisten = \"{}\"\nclients = \"{}\"\nkey = \"../fleet.key\"\nstate = \"state\"\n\
+            let text = || {
+                format!(
+                    "name = \"s{at}\"\nlisten = \"{}\"\nclients = \"{}\"\nkey = \"../fleet.key\"\nstate = \"state\"\n\
                  record = \"record\"\nprogram = \"{}\"\narguments = [\"daemon\"]\nsettings = \"../old.json\"\n",
-                free(),
-                free(),
-                env!("CARGO_BIN_EXE_indigomast")
-            );
-            fs::write(&file, text).expect("written");
-            let (child, orders, clients) = keep(&file);
+                    free(),
+                    free(),
+                    env!("CARGO_BIN_EXE_indigomast")
+                )
+            };
+            let (child, orders, clients) = loop {
+                fs::write(&file, text()).expect("written");
+                match try_keep(&file) {
+                    Ok(kept) => break kept,
+                    // Another process, which draws its own, was there before.
+                    Err(said) if said.iter().any(|line| line.contains("Address already in use")) => {}
+                    Err(said) => panic!("{said:?}"),
+                }
+            };
             fleet.keepers.push(Keeper { file, child, orders, clients });
         }
         fleet.serves();
--- a/crates/control-plane/tests/carrier/support.rs
+++ b/crates/control-plane/tests/carrier/support.rs
@@ -76,13 +76,7 @@
 
 impl Fleet {
     pub fn new(controls: usize) -> Fleet {
-        let mut addresses: Vec<SocketAddr> = Vec::new();
-        while addresses.len() < controls {
-            let address = free_address().expect("a free port");
-            if !addresses.contains(&address) {
-                addresses.push(address);
-            }
-        }
+        let addresses = (0..controls).map(|_| free_address().expect("a free port")).collect();
         let mut fleet = Fleet {
             folder: Folder::new(),
             addresses,
--- a/crates/keep/src/process.rs
+++ b/crates/keep/src/process.rs
@@ -12,6 +12,8 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// The clients' socket is this descriptor of every process.
@@ -58,7 +60,8 @@
 const LEAST_PORT: u16 = 20_000;
 
 /// An address that is free, for a program that is told which one and may not say which it found. Below the ports that the
-/// system gives to connections: one of those that is free now may be anybody's when the program comes to it.
+/// system gives to connections: one of those that is free now may be anybody's when the program comes to it. Nor does this
+/// process give out the same one again before it has been through all others.
 ///
 /// # Errors
 ///
@@ -70,14 +73,20 @@
         if first <= LEAST_PORT {
             break;
         }
-        let port = rand::random_range(LEAST_PORT..first);
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", next_port(first))) {
             return listener.local_addr();
         }
     }
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+/// The ports from the least to before this one in turn, from a beginning of this process's own.
+fn next_port(end: u16) -> u16 {
+    static NEXT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random::<u16>().into()));
+    let nth = NEXT.fetch_add(1, Ordering::Relaxed) % u32::from(end - LEAST_PORT);
+    LEAST_PORT + nth as u16
+}
+
 fn stat(pid: u32) -> Option<Vec<String>> {
     let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
     // The name in front may hold anything but ends with the last bracket.
