--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -16,7 +16,7 @@
 use crate::places::Places;
 use crate::terms::{self, Table};
 use crate::wal::{self, Kept, Report, TextInfo, Wal};
-use crate::{log, log_account, log_decision, threads};
+use crate::{log, log_account, log_decision, log_request, log_state, threads};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use indigomast::api::*;
 use indigomast::rules::Rules;
@@ -459,6 +459,7 @@
                     rate = outcome.allowance.map_or(-1.0, |a| a.calls_per_sec);
                     "outcome"
                 );
+                self.log_outcome(&outcome);
                 if outcome.verdict.never_ran() {
                     self.wal.never_ran(outcome.text.0, outcome.submit);
                 }
@@ -656,15 +657,18 @@
         if let Err(again) = self.overload.admit(now, left, span(came.elapsed())) {
             self.counters.turned_away_late.add(1);
             log_account!(dest = info.dest, why = "late"; "turned-away");
+            log_request!(id = info.id, dest = info.dest, reason = "late"; "refused");
             _ = reply.try_send(Admission::Later(again));
             return;
         }
         let (id, key) = (info.id.clone(), info.key.clone());
         let dest = info.dest;
+        let why = if late { "stopping" } else { "full" };
         let taken = if full { None } else { self.wal.take(info, body, now) };
         let Some(text) = taken.map(TextId) else {
             self.counters.turned_away.add(1);
-            log_account!(dest, held = self.wal.held(), why = if late { "stopping" } else { "full" }; "turned-away");
+            log_account!(dest, held = self.wal.held(), why; "turned-away");
+            log_request!(id, dest, reason = why; "refused");
             _ = reply.try_send(Admission::Full);
             return;
         };
@@ -779,6 +783,11 @@
             if let Some(before) = self.places.replaced_by(&member) {
                 entries.extend(self.deleted(before));
             }
+            let from = self.places.condition(&member.name);
+            if from != Some(member.condition) {
+                let (to, revision) = (member.condition, self.revision);
+                log_state!(endpoint = member.name, from:?, to:?, revision:?; "an endpoint changed its state");
+            }
             let (at, place) = self.places.put(&member);
             let (dest, condition, units) = (member.dest, member.condition, member.units);
             log_account!(endpoint = at.0, name = member.name, dest, kind = member.kind.0, condition:?, units; "listed");
@@ -916,9 +925,18 @@
         self.out.insert((text, part.submit), endpoint);
         self.counters.submitted.add(1);
         log_account!(text = text.0, submit = part.submit, endpoint = endpoint.0; "submit");
+        let place = &place.name;
+        log_request!(id = part.id, submit = part.submit, endpoint = place, revision:? = self.revision; "call");
         Some(part)
     }
 
+    fn log_outcome(&mut self, outcome: &Outcome) {
+        let Some(owed) = self.wal.owed().get(&outcome.text.0) else { return };
+        let (id, submit, ms) = (&owed.info.id, outcome.submit, outcome.latency.as_millis());
+        let endpoint = self.places.get(outcome.endpoint).map(|place| place.name.as_str());
+        log_request!(id, submit, endpoint:?, reason:? = outcome.verdict, ms; "call ended");
+    }
+
     fn give_up(&mut self, text: TextId, report: Report) {
         let Some(owed) = self.wal.owed().get(&text.0) else { return };
         let id = owed.info.id.clone();
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -426,9 +426,12 @@
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let config = Config::from_env()?;
     let (name, stack) = (config.name.clone(), config.limits.stack);
-    log::Sink::new("indigomastd", log::Format::Plain, config.limits.log_lines_a_second).install(
-        if std::env::var_os("ROUTER_ACCOUNT").is_some() { LevelFilter::Trace } else { LevelFilter::Warn },
-    );
+    let level = match (std::env::var_os("ROUTER_ACCOUNT"), std::env::var("ROUTER_LOG")) {
+        (Some(_), _) => LevelFilter::Trace,
+        (None, Ok(name)) => log::level(&name)?,
+        (None, Err(_)) => LevelFilter::Warn,
+    };
+    log::Sink::new("indigomastd", log::Format::Plain, config.limits.log_lines_a_second).install(level);
     // What is told while another process is waited for: an end is an end, and files are read once this one owns.
     let (mut stop, mut read_again) = (false, false);
     let mut told = || {
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -9,7 +9,7 @@
 use crate::link::{Fault, Link};
 use crate::platform::Platform;
 use crate::poll_schedule::{PollSchedule, Reply};
-use crate::{Mailbox, log, log_account, threads};
+use crate::{Mailbox, log, log_account, log_state, threads};
 use crossbeam_channel::Receiver;
 use indigomast::api::{Condition, KindId, ZoneId};
 use indigomast_site::{Complaint, read};
@@ -306,10 +306,14 @@
             let reply = asked.as_ref().map_or_else(|(reply, _)| *reply, |_| Reply::Told);
             self.schedule().answered(Instant::now(), reply);
             match asked {
-                Ok((address, listing)) => self.tell(&mut running, address, listing),
-                Err((_, e)) => {
+                Ok((address, listing)) => {
+                    self.log_told(&listing, since);
+                    self.teller.counters.list.holds(listing.revision, since);
+                    self.tell(&mut running, address, listing);
+                }
+                Err((reply, e)) => {
                     drop(running);
-                    log!("the watch on the list ended: {e}");
+                    self.log_failure(reply, &e, since);
                     link = None;
                     // It is asked again unbidden, and the list in force stays.
                     self.teller.missed();
@@ -322,6 +326,26 @@
         }
     }
 
+    fn log_told(&self, listing: &Listing, asked: Instant) {
+        log_state!(
+            revision = listing.revision, complete = listing.complete, entries = listing.members.len(),
+            after_ms = asked.elapsed().as_millis();
+            "the list was told"
+        );
+    }
+
+    /// With which list the sender goes on, and when it asks again.
+    fn log_failure(&self, reply: Reply, complaint: &str, asked: Instant) {
+        let held = self.teller.counters.list.get();
+        log!(
+            reply:?, after_ms = asked.elapsed().as_millis(),
+            revision = held.map_or(-1, |(revision, _)| revision as i64),
+            age_ms = held.map_or(-1, |(_, age)| age.as_millis() as i64),
+            next_ms = self.schedule().wait(Instant::now()).as_millis();
+            "the watch on the list ended: {complaint}"
+        );
+    }
+
     /// One question: for changes with a hold, else, or where nothing known goes on, for the whole list. Where there is none
     /// the schedule is told why.
     fn ask(
--- a/crates/sender/src/log.rs
+++ b/crates/sender/src/log.rs
@@ -18,6 +18,22 @@
     };
 }
 
+/// A change of state of something that decisions rest on: a source of lists, an endpoint on a list.
+#[macro_export]
+macro_rules! log_state {
+    ($($what:tt)*) => {
+        $crate::log::facade::info!(target: "indigomast", $($what)*)
+    };
+}
+
+/// One step of a request, with `id` and, where it ends something, `reason` as key and value.
+#[macro_export]
+macro_rules! log_request {
+    ($($what:tt)*) => {
+        $crate::log::facade::debug!(target: "indigomast", $($what)*)
+    };
+}
+
 /// What became of a text by a decision, with `text`, `dest` and `reason` as key and value.
 #[macro_export]
 macro_rules! log_decision {
@@ -121,6 +137,21 @@
     }
 }
 
+/// The least level of what is written, by its name in the environment: `warn`, `info` (changes of state and texts that were
+/// given up) or `debug` (each request as well).
+///
+/// # Errors
+///
+/// The name is none of these.
+pub fn level(name: &str) -> Result<LevelFilter, String> {
+    match name {
+        "warn" => Ok(LevelFilter::Warn),
+        "info" => Ok(LevelFilter::Info),
+        "debug" => Ok(LevelFilter::Debug),
+        _ => Err(format!("ROUTER_LOG: {name:?} is none of warn, info and debug")),
+    }
+}
+
 impl Log for Sink {
     fn enabled(&self, metadata: &Metadata) -> bool {
         metadata.target().starts_with("indigomast")
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -11,7 +11,7 @@
 use crate::http::{self, AnswerHead};
 use crate::limits::Limits;
 use crate::link::{self, Fault, Link};
-use crate::{Mailbox, log, log_account, threads};
+use crate::{Mailbox, log, log_account, log_request, threads};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use indigomast::api::*;
 use indigomast::time::Span;
@@ -280,14 +280,14 @@
                 let rests = || _ = peer.send(Ask::Rests(number));
                 if !threads::survives(|| keeps = carrier.carry(&mut call, rests)) {
                     // Before the call is dropped, and its outcome told: nothing may meet an open first copy.
-                    carrier.drop_link();
+                    carrier.drop_link("its thread ended");
                     keeps = false;
                 }
                 if !keeps {
                     break;
                 }
             }
-            carrier.drop_link();
+            carrier.drop_link("given up at rest");
             // The right to a descriptor goes back after the descriptor.
             drop(carrier);
             drop(token);
@@ -390,7 +390,7 @@
         let (head, body) = match sent.and_then(|()| self.await_head(call, many)) {
             Ok(answer) => answer,
             Err(verdict) => {
-                self.drop_link();
+                self.drop_link("its call failed");
                 let verdict = if lock(&self.tie).revoked { Verdict::Cancelled } else { verdict };
                 call.tell(|_| verdict.into());
                 return false;
@@ -400,7 +400,7 @@
         if keeps {
             rests();
         } else {
-            self.drop_link();
+            self.drop_link("the answer was its last");
         }
         match body {
             // The first line alone tells that a single text was delivered, whatever is wrong with the rest.
@@ -413,9 +413,10 @@
         keeps
     }
 
-    fn drop_link(&mut self) {
+    fn drop_link(&mut self, reason: &str) {
         lock(&self.tie).stream = None;
         if let Some(link) = self.link.take() {
+            log_request!(endpoint = self.endpoint.0, address:% = self.address, reason; "connection closed");
             link.shut();
         }
     }
@@ -434,7 +435,7 @@
     /// stays behind: the others of its call don't hang on it.
     fn send(&mut self, call: &mut Call) -> Result<(), Verdict> {
         if !self.link.as_ref().is_some_and(|link| link.sound(&self.trunk.limits)) {
-            self.drop_link();
+            self.drop_link("it was found ended");
             let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
             let left = latest.saturating_duration_since(Instant::now());
             log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -105,6 +105,12 @@
         (at, place)
     }
 
+    /// What the list said last of the endpoint of this name, as far as it is known.
+    pub fn condition(&self, name: &str) -> Option<Condition> {
+        let place = self.by_name.get(name).and_then(|at| self.places.get(at));
+        place.map(|place| place.condition)
+    }
+
     /// Whether an endpoint of this name is known that belonged elsewhere: to another destination, kind or zone. It is over
     /// then, and what the list names is another one, which gets an index of its own.
     pub fn replaced_by(&mut self, member: &Listed) -> Option<EndpointId> {
