--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -209,7 +209,7 @@
             "family-info": {"call-slots": 8, "kind-batch": [1], "routes-apart": [false]},
             "membership-mode": "subscribe", "weight-kind": "silent",
             "obligations": {"cold-share": 0.2, "cold-ms": 10000.0, "tip-multiple": 2.0,
-                "must-ask-in-ms": 10000.0, "settle-after-doubt-ms": 100.0},
+                "must-ask-in-ms": 10000.0, "drain-grace-ms": 1000.0, "settle-after-doubt-ms": 100.0},
             "ceilings": {"max-attempts": 6, "most-held": 100, "keepalive-ms": 10000.0,
                 "connect-timeout-ms": 1500.0, "retry-after": true, "max-retry-after-ms": 2000.0},
         },
