List: no call by a list whose lease has lapsed

Cause: the list in force was acted on however old it was. Nobody listening (refused connections) stops the clock; a discovery that fails every question for 16 s passes for down.

--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -429,6 +429,7 @@
             cold_ms: ms(cold),
             tip_multiple: tip,
             must_ask_in_ms: 0.0,
+            drain_grace_ms: 0.0,
             settle_after_doubt_ms: ms(rest),
         },
         ceilings: Ceilings {
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -70,6 +70,11 @@
     Outcome(Outcome),
     /// None where asking failed.
     Listed(Option<Listing>),
+    /// Until when the list in force may be acted on, and as of when it is whole.
+    ListLease {
+        until: Option<Moment>,
+        as_of: Moment,
+    },
     Reported(Vec<TextId>),
     /// An operator's.
     Order(Order),
@@ -482,6 +487,7 @@
                 let scope = if listing.complete { Scope::Complete } else { Scope::Partial };
                 self.listed(scope, listing.members);
             }
+            Word::ListLease { until, as_of: _ } => self.events.push(Event::ListLease(until)),
             Word::Listed(None) => {
                 self.events.push(Event::Listed { scope: Scope::Error, entries: Vec::new() })
             }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -267,6 +267,8 @@
                         Some(handover_state) => handover_state.revision,
                         None => Some(known.revision),
                     },
+                    clock,
+                    as_of: clock.now(),
                 };
                 let post = notices::Post::new(Arc::clone(&limits));
                 (Box::new(actor), Box::new(notices::ToPlatform { platform: there, post }))
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -208,6 +208,8 @@
     pub connect_list_first: Duration,
     pub connect_list: Duration,
     pub watch_hold: Duration,
+    /// The same for the first question after one that failed, which is to be answered at once.
+    pub watch_probe: Duration,
     pub watch_slack: Duration,
     /// How long a question that is not held may take, with its connection.
     pub list_time: Duration,
@@ -332,6 +334,7 @@
             connect_list_first: Duration::from_millis(300),
             connect_list: Duration::from_millis(1200),
             watch_hold: Duration::from_secs(4),
+            watch_probe: Duration::from_millis(1),
             watch_slack: Duration::from_millis(1200),
             list_time: Duration::from_millis(2500),
             watch_pause: Duration::from_millis(500),
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of endpoints: what a source of it is, and the platform's discovery, which is asked for it or watched.
 
-use crate::clock::duration;
+use crate::clock::{Clock, duration};
 use crate::config::{InForce, Site};
 use crate::counters::Counters;
 use crate::decider::Word;
@@ -12,6 +12,8 @@
 use crate::{Mailbox, log, log_account, log_state, threads};
 use crossbeam_channel::Receiver;
 use indigomast::api::{Condition, KindId, ZoneId};
+use indigomast::list_lease::{Failure, LeaseSettings, ListLease, Subscription};
+use indigomast::time::{Moment, Span};
 use indigomast_site::{Complaint, read};
 use serde::{Deserialize, Serialize};
 use std::io::{self, ErrorKind};
@@ -124,6 +126,11 @@
         self.counters.bad_lists.add(1);
     }
 
+    /// Until when the list in force may be acted on, and as of when it is whole.
+    fn lease(&self, until: Option<Moment>, as_of: Moment) {
+        _ = self.decider.send(Word::ListLease { until, as_of });
+    }
+
     /// What the list says now; none where asking failed, and then the one in force stays.
     pub fn tell(&self, listing: Option<Listing>) {
         match &listing {
@@ -150,6 +157,8 @@
     teller: Teller,
     running: Mutex<Running>,
     schedule: Mutex<PollSchedule>,
+    clock: Clock,
+    lease: Mutex<ListLease>,
 }
 
 /// What one watch leaves to the next, or must not: behind one lock, so that no watch meets half of a change.
@@ -188,18 +197,24 @@
     pub limits: Arc<Limits>,
     /// Of the list that is known; none where discovery may be another one now.
     pub revision: Option<u64>,
+    pub clock: Clock,
+    /// As of when the list that is known is whole.
+    pub as_of: Moment,
 }
 
 impl Source for List {
     /// Works through what is asked until nobody can ask any more.
     fn run(self: Box<Self>, asks: Receiver<Ask>, teller: Teller) {
-        let List { platform, site, limits, revision } = *self;
+        let List { platform, site, limits, revision, clock, as_of } = *self;
         let unasked = !site.get().info.decode().must_subscribe;
         let revision = revision.map(|revision| (platform.address(), revision));
         let running = Mutex::new(Running { number: 0, stream: None, revision });
-        let schedule = Mutex::new(schedule(&site.get()).0);
-        let desk = Desk { platform, site, limits, teller, running, schedule };
+        let poll_schedule = schedule(&site.get()).0;
+        let lease = ListLease::new(lease_settings(&site.get(), &poll_schedule), clock.now(), as_of);
+        let (schedule, lease) = (Mutex::new(poll_schedule), Mutex::new(lease));
+        let desk = Desk { platform, site, limits, teller, running, schedule, clock, lease };
         let desk = Arc::new(desk);
+        desk.leases(|_, _| {});
         if unasked {
             desk.watch(true);
         }
@@ -210,19 +225,33 @@
                     desk.renew();
                     desk.watch_anew();
                 }
-                Ask::Read => match desk.ask(&mut None, 0, None) {
-                    Ok((address, listing)) => desk.tell(&mut desk.running(), address, listing),
-                    Err((_, e)) => {
-                        log!("reading the list failed: {e}");
-                        desk.teller.tell(None);
-                    }
-                },
+                Ask::Read => desk.read_once(),
             }
         }
         desk.watch(false);
     }
 }
 
+fn lease_settings(site: &Site, schedule: &PollSchedule) -> LeaseSettings {
+    let settings = site.info.decode();
+    let subscription = match settings.must_subscribe {
+        false => Subscription::Pushed,
+        true if schedule.watches() => Subscription::Watches,
+        true => Subscription::Polls,
+    };
+    let drain_grace = Span::from_millis(site.info.obligations.drain_grace_ms);
+    LeaseSettings { subscription, poll_term: settings.must_ask_in, drain_grace }
+}
+
+/// What a failed question says of discovery, as far as the age of the list goes.
+fn failure(reply: Reply) -> Failure {
+    match reply {
+        Reply::Unreachable => Failure::Unreachable,
+        Reply::Silent => Failure::Silent,
+        Reply::Told | Reply::TurnedAway | Reply::Broken => Failure::Refused,
+    }
+}
+
 /// When a sender of this site asks, from now on, and within which time it has to.
 fn schedule(site: &Site) -> (PollSchedule, Duration) {
     let (term, info) = (duration(site.info.decode().must_ask_in), &site.info);
@@ -236,9 +265,37 @@
         self.teller.tell(Some(listing));
     }
 
+    /// Takes note of something about the list's age, and tells until when the list is good.
+    fn leases(&self, note: impl FnOnce(&mut ListLease, Moment)) {
+        let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        note(&mut lease, now);
+        self.teller.lease(lease.good_until(now), lease.as_of());
+    }
+
+    /// One question outside of the watch.
+    fn read_once(&self) {
+        let asked = Instant::now();
+        match self.ask(&mut None, 0, None) {
+            Ok((address, listing)) => {
+                self.tell(&mut self.running(), address, listing);
+                self.leases(|lease, _| lease.confirmed(self.clock.moment(asked)));
+            }
+            Err((_, e)) => {
+                log!("reading the list failed: {e}");
+                self.teller.tell(None);
+            }
+        }
+    }
+
     /// By the settings in force.
     fn renew(&self) {
         let (fresh, term) = schedule(&self.site.get());
+        let settings = lease_settings(&self.site.get(), &fresh);
+        self.leases(|lease, now| {
+            lease.follows(settings);
+            lease.moved(now);
+        });
         let mut schedule = self.schedule();
         if !schedule.goes_round_with(&fresh) {
             *schedule = fresh;
@@ -279,7 +336,7 @@
     }
 
     fn keep_watch(&self, number: u64) {
-        let mut link = None;
+        let (mut link, mut failed) = (None, false);
         loop {
             // Nothing is held while a turn is waited for, not even a connection.
             let schedule = self.schedule().clone();
@@ -296,7 +353,10 @@
             }
             let since = Instant::now();
             self.schedule().asks(since);
-            let asked = self.ask(&mut link, number, watches.then_some(self.limits.watch_hold));
+            // After a failure it is time to hear something, be it that nothing has changed.
+            let hold = if failed { self.limits.watch_probe } else { self.limits.watch_hold };
+            let asked = self.ask(&mut link, number, watches.then_some(hold));
+            failed = asked.is_err();
             // A watch that was ended or replaced has nothing more to say. It is not replaced while it speaks:
             // its revision would pass for one of the next watch's discovery.
             let mut running = self.running();
@@ -310,10 +370,14 @@
                     self.log_told(&listing, since);
                     self.teller.counters.list.holds(listing.revision, since);
                     self.tell(&mut running, address, listing);
+                    // A watch that ran its whole time would have been answered sooner had something changed.
+                    let as_of = if watches && since.elapsed() >= hold { since + hold } else { since };
+                    self.leases(|lease, _| lease.confirmed(self.clock.moment(as_of)));
                 }
                 Err((reply, e)) => {
                     drop(running);
                     self.log_failure(reply, &e, since);
+                    self.leases(|lease, now| lease.failed(now, failure(reply)));
                     link = None;
                     // It is asked again unbidden, and the list in force stays.
                     self.teller.missed();
@@ -373,11 +437,13 @@
         let known = self.running().revision.filter(|(by, _)| *by == address).map(|(_, revision)| revision);
         let hold = hold.zip(known);
         // A call that is given up goes on costing discovery until it has had its turn there.
-        let patience = hold.map_or(limits.list_time, |(hold, _)| hold + limits.watch_slack);
+        let patience =
+            hold.map_or(limits.list_time, |(hold, _)| limits.list_time.max(hold + limits.watch_slack));
         let mut by = Instant::now() + patience;
         if !link.as_ref().is_some_and(|(at, link)| *at == address && link.sound(limits)) {
             let opened = connect(address, limits).map_err(|e| match e.kind() {
                 ErrorKind::TimedOut => (Reply::Silent, e.to_string()),
+                ErrorKind::ConnectionRefused => (Reply::Unreachable, e.to_string()),
                 _ => (Reply::Broken, e.to_string()),
             })?;
             if watch > 0 {
--- a/crates/sender/src/poll_schedule.rs
+++ b/crates/sender/src/poll_schedule.rs
@@ -25,6 +25,9 @@
 /// A failed question is asked again after this at the latest: to that sender a change counts as told 6 s after discovery had
 /// it and could be reached, and an answer takes up to 1.5 s of these while the whole fleet asks so often.
 const RETRY: Duration = Duration::from_millis(4500);
+/// Where a round is shorter than that the fleet is small enough to ask again sooner, after a pause that grows with each failure: a
+/// list whose lease lapsed holds up all that its sender has.
+const FIRST_RETRY: Duration = Duration::from_millis(1000);
 /// Where discovery has too much to do the next pause is longer by this much, as far as settings let a sender go without
 /// asking, or up to so many rounds where they don't say.
 const GROWTH: f64 = 1.5;
@@ -42,6 +45,8 @@
     Told,
     /// Discovery answered, but with no list.
     TurnedAway,
+    /// Nobody listens there.
+    Unreachable,
     /// There was no connection, it broke, or what came could not be read.
     Broken,
     /// Its time was up.
@@ -60,6 +65,7 @@
     place: f64,
     turn: Instant,
     asked: Instant,
+    failures: u32,
     silent: u32,
     next: Instant,
     watches: bool,
@@ -76,7 +82,18 @@
         let place = (number % senders) as f64 / senders as f64;
         let watches = wanted <= TAKES_TURNS;
         let turn = if watches { now } else { now + round.mul_f64(place) };
-        PollSchedule { round, pause: round, longest, place, turn, asked: now, silent: 0, next: turn, watches }
+        PollSchedule {
+            round,
+            pause: round,
+            longest,
+            place,
+            turn,
+            asked: now,
+            failures: 0,
+            silent: 0,
+            next: turn,
+            watches,
+        }
     }
 
     /// Whether it asks to be told of changes as they come, one question after the other.
@@ -106,6 +123,7 @@
             return;
         }
         self.silent = if reply == Reply::Silent { self.silent + 1 } else { 0 };
+        self.failures = if reply == Reply::Told { 0 } else { self.failures + 1 };
         let stood = now.saturating_duration_since(self.asked) >= STOOD_IN_LINE;
         let swamped = (reply == Reply::TurnedAway && stood) || self.silent > MOST_SILENT;
         if !swamped {
@@ -118,11 +136,18 @@
                 self.pause = pause.mul_f64(GROWTH).min(self.longest);
                 pause
             }
-            _ => self.round.min(RETRY),
+            _ if self.round < RETRY => self.retry(),
+            _ => RETRY,
         };
         self.next = self.asked + pause;
     }
 
+    /// From a question that failed to the next, in a fleet that is not large.
+    fn retry(&self) -> Duration {
+        let growth = GROWTH.powi(self.failures.saturating_sub(1).min(8) as i32);
+        FIRST_RETRY.mul_f64(growth).min(self.round)
+    }
+
     /// From the last question to the next turn, or halfway to the one after it where that comes too soon.
     fn rejoin(&self) -> Duration {
         let since = match self.asked.checked_duration_since(self.turn) {
--- a/crates/sender/tests/sender/crossings.rs
+++ b/crates/sender/tests/sender/crossings.rs
@@ -4,6 +4,7 @@
 use crate::parts::{call, part, peer, trunk, verdict};
 use crossbeam_channel::{bounded, unbounded};
 use indigomast::api::{Condition, KindId, TextId, Verdict, ZoneId};
+use indigomast_sender::clock::Clock;
 use indigomast_sender::config::{Config, InForce};
 use indigomast_sender::decider::Word;
 use indigomast_sender::list::{self, List, Listed, Source, Teller};
@@ -144,6 +145,8 @@
         site: Arc::new(InForce::new(site)),
         limits: Arc::new(limits),
         revision: Some(41),
+        clock: Clock::start(),
+        as_of: Clock::start().now(),
     };
     let ((decider, words), (asking, asks)) = (unbounded(), unbounded());
     let teller = Teller::new(decider, Arc::default());
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -173,6 +173,8 @@
     #[serde(default)]
     pub must_ask_in_ms: f64,
     #[serde(default)]
+    pub drain_grace_ms: f64,
+    #[serde(default)]
     pub settle_after_doubt_ms: f64,
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -202,6 +202,8 @@
     },
     /// Other settings are in force from now on. Texts at hand keep their products.
     Settings(Settings),
+    /// Until when the list that is held may be acted on; none where nothing ends that, as before the first word of it.
+    ListLease(Option<Moment>),
     /// Another process is about to take over: nothing new is submitted, all else goes on; or it does not come after all.
     Quiet(bool),
     /// The stream of an answer has begun.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,6 +86,7 @@
     Idle(LaneId),
     Overdue(u64),
     Unlisted(EndpointId),
+    ListLapses,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -311,6 +312,8 @@
     crowded: BTreeMap<KindId, Moment>,
     longest: BTreeSet<(usize, DestId)>,
     asks_failed: u32,
+    /// When the list may be acted on no more.
+    list_until: Option<Moment>,
     /// Another process takes over: nothing new goes out.
     quiet: bool,
     started: Option<Moment>,
@@ -416,6 +419,7 @@
                 Event::Maintained { endpoint, out } => self.maintained(endpoint, out),
                 Event::Settings(settings) => self.settings = settings,
                 Event::Quiet(on) => self.quiet = on,
+                Event::ListLease(until) => self.list_leased(until),
                 Event::Woken => beat = true,
                 _ => {}
             }
@@ -480,6 +484,18 @@
         self.withhold(withheld);
     }
 
+    /// Guards against calls to an endpoint of which the sender counts as told, by a list that it was not told anew.
+    fn list_leased(&mut self, until: Option<Moment>) {
+        if let Some(until) = until {
+            self.dues.insert((until, Due::ListLapses));
+        }
+        self.list_until = until;
+    }
+
+    fn list_is_good(&self) -> bool {
+        self.list_until.is_none_or(|until| self.now < until)
+    }
+
     /// Guards against calls decided before a wait, a drain or an order was told that leave long after it, as
     /// their connections took so long to come up.
     fn withhold(&mut self, calls: Vec<u64>) {
@@ -704,6 +720,9 @@
             Due::Idle(id) => self.drop_idle(id),
             Due::Overdue(call) => self.overdue(call),
             Due::Unlisted(id) => self.drop_unlisted(id),
+            Due::ListLapses if self.list_is_good() => {}
+            // Some were decided on a lease that went further.
+            Due::ListLapses => self.withhold(self.calls.keys().copied().collect()),
         }
     }
 
@@ -1035,6 +1054,7 @@
             self.line_up(dest, &passed);
         }
         while !self.quiet
+            && self.list_is_good()
             && self.calls.len() < self.settings.slots
             && let Some(&first) = self.line.first()
         {
@@ -1126,6 +1146,7 @@
             let forgotten = self.memory_ends(&self.texts[&id]).map(|end| end + MEMORY_MARGIN * 0.5);
             let text = self.texts.get_mut(&id).expect("chosen from the hold");
             let leave_by = forgotten.map_or(text.valid_until, |end| end.min(text.valid_until));
+            let leave_by = self.list_until.map_or(leave_by, |until| until.min(leave_by));
             let left = (text.valid_until - CUT_MARGIN).since(self.now);
             cut_short |= left < time_out;
             let time_out = time_out.min(left);
--- a/src/time.rs
+++ b/src/time.rs
@@ -58,6 +58,11 @@
     pub fn as_secs(self) -> f64 {
         self.0 as f64 / 1e6
     }
+
+    /// What is left of it without the other; nothing if that is longer.
+    pub fn saturating_sub(self, other: Span) -> Span {
+        Span((self.0 - other.0).max(0))
+    }
 }
 
 impl Add<Span> for Moment {
--- /dev/null
+++ b/tests/list_lease.rs
@@ -0,0 +1,123 @@
+//! Until when a list may be acted on, by each sentence on when a change counts as told.
+
+use indigomast::list_lease::{Failure, LeaseSettings, ListLease, Subscription};
+use indigomast::time::{Moment, Span};
+
+const GRACE: f64 = 800.0;
+
+fn at(millis: f64) -> Moment {
+    Moment::from_millis(100_000.0 + millis)
+}
+
+fn settings(subscription: Subscription) -> LeaseSettings {
+    LeaseSettings { subscription, poll_term: Span::millis(10_000), drain_grace: Span::millis(1_000) }
+}
+
+fn lease(subscription: Subscription) -> ListLease {
+    ListLease::new(settings(subscription), at(0.0), at(0.0))
+}
+
+#[track_caller]
+fn good_until(lease: &ListLease, now: f64, until: f64) {
+    assert_eq!(lease.good_until(at(now)), Some(at(until)));
+}
+
+#[test]
+fn a_sender_that_polls_holds_its_list_for_as_long_as_it_may_go_without_asking() {
+    let mut lease = lease(Subscription::Polls);
+    good_until(&lease, 100.0, 10_000.0 + GRACE);
+    lease.confirmed(at(4_400.0));
+    good_until(&lease, 4_500.0, 14_400.0 + GRACE);
+}
+
+#[test]
+fn after_a_failed_question_a_change_counts_6_s_after_it_was_made() {
+    let mut lease = lease(Subscription::Polls);
+    lease.confirmed(at(4_400.0));
+    for failure in [Failure::Refused, Failure::Silent] {
+        lease.failed(at(8_900.0), failure);
+        good_until(&lease, 8_900.0, 10_400.0 + GRACE);
+    }
+    lease.confirmed(at(13_000.0));
+    good_until(&lease, 13_100.0, 23_000.0 + GRACE);
+}
+
+#[test]
+fn a_watch_renews_the_list_by_each_answer_only() {
+    let mut lease = lease(Subscription::Watches);
+    good_until(&lease, 100.0, 6_000.0 + GRACE);
+    lease.failed(at(5_200.0), Failure::Silent);
+    good_until(&lease, 5_200.0, 6_000.0 + GRACE);
+    lease.confirmed(at(5_300.0));
+    good_until(&lease, 5_400.0, 11_300.0 + GRACE);
+}
+
+#[test]
+fn a_list_that_was_old_when_the_process_began_stays_so_once_a_question_failed() {
+    let mut lease = ListLease::new(settings(Subscription::Polls), at(0.0), at(-5_000.0));
+    good_until(&lease, 10.0, 10_000.0 + GRACE);
+    lease.failed(at(200.0), Failure::Refused);
+    good_until(&lease, 200.0, 1_000.0 + GRACE);
+}
+
+#[test]
+fn nothing_is_told_while_nobody_listens() {
+    let mut lease = lease(Subscription::Watches);
+    for second in 1..60 {
+        let now = f64::from(second) * 1_000.0;
+        lease.failed(at(now), Failure::Unreachable);
+        assert!(lease.good_until(at(now)).is_none_or(|until| until >= at(now + 6_000.0)));
+    }
+}
+
+/// It is there again, and turns all away: what it has counts from the last moment at which nobody listened.
+#[test]
+fn the_time_runs_again_once_somebody_listens() {
+    let mut lease = lease(Subscription::Watches);
+    lease.failed(at(4_000.0), Failure::Unreachable);
+    lease.failed(at(4_500.0), Failure::Refused);
+    good_until(&lease, 4_500.0, 10_000.0 + GRACE);
+}
+
+#[test]
+fn discovery_passes_for_down_once_all_questions_failed_for_long() {
+    let mut lease = lease(Subscription::Watches);
+    lease.failed(at(500.0), Failure::Refused);
+    assert!(lease.good_until(at(16_000.0)).is_some(), "a single failure tells little");
+    lease.failed(at(15_900.0), Failure::Refused);
+    assert!(lease.good_until(at(15_999.0)).is_some());
+    assert!(lease.good_until(at(16_000.0)).is_none());
+    lease.confirmed(at(16_500.0));
+    good_until(&lease, 16_600.0, 22_500.0 + GRACE);
+}
+
+#[test]
+fn what_an_agent_has_counts_at_once_unless_a_watch_is_open() {
+    let mut lease = lease(Subscription::Pushed);
+    good_until(&lease, 10.0, GRACE);
+    lease.confirmed(at(20.0));
+    good_until(&lease, 30.0, 6_020.0 + GRACE);
+    lease.failed(at(3_000.0), Failure::Refused);
+    lease.failed(at(3_500.0), Failure::Refused);
+    good_until(&lease, 3_500.0, 3_000.0 + GRACE);
+}
+
+#[test]
+fn a_source_that_moved_tells_within_4_s() {
+    let mut lease = lease(Subscription::Polls);
+    lease.confirmed(at(4_400.0));
+    lease.moved(at(5_000.0));
+    good_until(&lease, 5_100.0, 9_000.0 + GRACE);
+    lease.confirmed(at(4_900.0));
+    good_until(&lease, 5_200.0, 9_000.0 + GRACE);
+    lease.confirmed(at(5_300.0));
+    good_until(&lease, 5_400.0, 15_300.0 + GRACE);
+}
+
+/// Where the grace is shorter than what is kept of it, the list is good until the change counts and no longer.
+#[test]
+fn a_short_grace_is_not_overdrawn() {
+    let short = LeaseSettings { drain_grace: Span::millis(100), ..settings(Subscription::Watches) };
+    let lease = ListLease::new(short, at(0.0), at(0.0));
+    good_until(&lease, 10.0, 6_000.0);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1385,3 +1385,28 @@
     let forgotten = bench.at(began) + MEMORY;
     assert!(again.is_some_and(|by| by < forgotten && forgotten.since(by) < Span::millis(300)), "{again:?}");
 }
+
+/// A list whose lease has lapsed may name an endpoint that drains: nothing goes out by it until it is renewed, and what was let
+/// go while it held must leave before it lapses.
+#[test]
+fn nothing_goes_out_by_a_list_whose_lease_has_lapsed() {
+    let mut bench = Bench::new(settings(), 0);
+    let until = bench.at(bench.now + 500.0);
+    bench.step(vec![Event::ListLease(Some(until))]);
+    let leaves = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Submit { leave_by, .. } => Some(*leave_by),
+            _ => None,
+        })
+    };
+    assert_eq!(leaves(&bench.take(1, 0, 1)), Some(until));
+    bench.now += 501.0;
+    let lapsed = bench.take(1, 0, 1);
+    assert!(lapsed.contains(&Action::Withhold { text: TextId(0), submit: 0 }), "{lapsed:?}");
+    assert!(submits(&lapsed).is_empty(), "{lapsed:?}");
+    let renewed = bench.step(vec![Event::ListLease(Some(bench.at(bench.now + 5_000.0)))]);
+    assert_eq!(submits(&renewed).len(), 1, "{renewed:?}");
+    bench.step(vec![Event::ListLease(Some(bench.at(bench.now - 1.0)))]);
+    assert!(submits(&bench.take(1, 0, 1)).is_empty());
+    assert_eq!(submits(&bench.step(vec![Event::ListLease(None)])).len(), 1);
+}
