List: an answer that breaks off tells which endpoints drain; an agent is asked at once

Callers saw: calls 2.5 s after an answer that named the drain and broke off (list_age::what_an_answer_said_before_it_broke_off_is_heeded, red on, green now). Cause: an answer counts as told once it is written, and the sender threw away what was not whole. Change: entries that drain or are gone are taken from what came, as it comes; nothing else of such an answer is used. The same for a watch that was replaced by a reload while it read. A process whose list is pushed asks for an answer at once, where a held question had kept its texts for 4 s since (seen in the_same_scenario_fares_alike_on_both_stages).

--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -70,6 +70,8 @@
     Outcome(Outcome),
     /// None where asking failed.
     Listed(Option<Listing>),
+    /// Endpoints that drain or are gone, by an answer that was not whole: nothing else is known of the list.
+    Drained(Vec<Listed>),
     /// Until when the list in force may be acted on, and as of when it is whole.
     ListLease {
         until: Option<Moment>,
@@ -487,6 +489,7 @@
                 let scope = if listing.complete { Scope::Complete } else { Scope::Partial };
                 self.listed(scope, listing.members);
             }
+            Word::Drained(members) => self.listed(Scope::Partial, members),
             Word::ListLease { until, as_of: _ } => self.events.push(Event::ListLease(until)),
             Word::Listed(None) => {
                 self.events.push(Event::Listed { scope: Scope::Error, entries: Vec::new() })
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -211,6 +211,8 @@
     /// The same for the first question after one that failed, which is to be answered at once.
     pub watch_probe: Duration,
     pub watch_slack: Duration,
+    /// Where an answer is not whole after so long, what has come of it is looked at.
+    pub list_look: Duration,
     /// How long a question that is not held may take, with its connection.
     pub list_time: Duration,
     pub watch_pause: Duration,
@@ -336,6 +338,7 @@
             watch_hold: Duration::from_secs(4),
             watch_probe: Duration::from_millis(1),
             watch_slack: Duration::from_millis(1200),
+            list_look: Duration::from_millis(200),
             list_time: Duration::from_millis(2500),
             watch_pause: Duration::from_millis(500),
             report_time: Duration::from_millis(1000),
--- a/crates/sender/src/link.rs
+++ b/crates/sender/src/link.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// What has come so far of the answer that is being read, behind its head.
+    pub fn received(&mut self) -> &[u8] {
+        self.inward.bytes()
+    }
+
     pub fn shut(&self) {
         _ = self.stream.shutdown(Shutdown::Both);
     }
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -4,7 +4,7 @@
 use crate::config::{InForce, Site};
 use crate::counters::Counters;
 use crate::decider::Word;
-use crate::http;
+use crate::http::{self, AnswerHead};
 use crate::limits::Limits;
 use crate::link::{Fault, Link};
 use crate::platform::Platform;
@@ -63,6 +63,48 @@
     pub condition: Condition,
 }
 
+impl Listed {
+    fn of(member: Member, site: &Site) -> Result<Listed, Complaint> {
+        let address = member.host_port.parse().ok();
+        if address.is_none() && member.phase != Phase::Gone {
+            return Err(format!("host_port: {:?} is no address", member.host_port));
+        }
+        Ok(Listed {
+            address,
+            dest: member.cell,
+            kind: KindId(site.kinds.find(&member.flavor, "flavor")?),
+            zone: ZoneId(site.zones.find(&member.locality, "locality")?),
+            units: member.size,
+            condition: match member.phase {
+                Phase::Ready => Condition::Running,
+                Phase::Terminating => Condition::Stopping,
+                Phase::Gone => Condition::Deleted,
+            },
+            name: member.id,
+        })
+    }
+
+    /// The entries that drain or are gone among those that are whole in what has come of an answer.
+    fn drained_in(answer: &[u8], site: &Site) -> Vec<Listed> {
+        let mut found = Vec::new();
+        let mut rest = answer;
+        while let Some(start) = rest.iter().position(|byte| *byte == b'{') {
+            rest = &rest[start..];
+            let mut members = serde_json::Deserializer::from_slice(rest).into_iter::<Member>();
+            match members.next() {
+                Some(Ok(member)) => {
+                    rest = &rest[members.byte_offset()..];
+                    found.extend(Listed::of(member, site).ok());
+                }
+                // The object around all entries, or one that is not whole.
+                _ => rest = &rest[1..],
+            }
+        }
+        found.retain(|listed| listed.condition != Condition::Running);
+        found
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Listing {
     pub revision: u64,
@@ -76,24 +118,7 @@
             return Err(format!("members: {} are more than are looked after", page.members.len()));
         }
         let listed = |(at, member): (usize, Member)| {
-            let within = |e: Complaint| format!("members[{at}].{e}");
-            let address = member.host_port.parse().ok();
-            if address.is_none() && member.phase != Phase::Gone {
-                return Err(within(format!("host_port: {:?} is no address", member.host_port)));
-            }
-            Ok(Listed {
-                address,
-                dest: member.cell,
-                kind: KindId(site.kinds.find(&member.flavor, "flavor").map_err(within)?),
-                zone: ZoneId(site.zones.find(&member.locality, "locality").map_err(within)?),
-                units: member.size,
-                condition: match member.phase {
-                    Phase::Ready => Condition::Running,
-                    Phase::Terminating => Condition::Stopping,
-                    Phase::Gone => Condition::Deleted,
-                },
-                name: member.id,
-            })
+            Listed::of(member, site).map_err(|e| format!("members[{at}].{e}"))
         };
         Ok(Listing {
             revision: page.revision,
@@ -126,6 +151,13 @@
         self.counters.bad_lists.add(1);
     }
 
+    /// Endpoints that drain or are gone, by an answer that is not whole, or came to a watch that is over.
+    fn drained(&self, members: Vec<Listed>) {
+        if !members.is_empty() {
+            _ = self.decider.send(Word::Drained(members));
+        }
+    }
+
     /// Until when the list in force may be acted on, and as of when it is whole.
     fn lease(&self, until: Option<Moment>, as_of: Moment) {
         _ = self.decider.send(Word::ListLease { until, as_of });
@@ -336,7 +368,8 @@
     }
 
     fn keep_watch(&self, number: u64) {
-        let (mut link, mut failed) = (None, false);
+        // What an agent has counts from the first moment on, so it is asked for that at once.
+        let (mut link, mut probes) = (None, !self.site.get().info.decode().must_subscribe);
         loop {
             // Nothing is held while a turn is waited for, not even a connection.
             let schedule = self.schedule().clone();
@@ -354,14 +387,18 @@
             let since = Instant::now();
             self.schedule().asks(since);
             // After a failure it is time to hear something, be it that nothing has changed.
-            let hold = if failed { self.limits.watch_probe } else { self.limits.watch_hold };
+            let hold = if probes { self.limits.watch_probe } else { self.limits.watch_hold };
             let asked = self.ask(&mut link, number, watches.then_some(hold));
-            failed = asked.is_err();
+            probes = asked.is_err();
             // A watch that was ended or replaced has nothing more to say. It is not replaced while it speaks:
             // its revision would pass for one of the next watch's discovery.
             let mut running = self.running();
             if running.number != number {
-                return;
+                drop(running);
+                // But that an endpoint drains was written to this sender, and no discovery says otherwise.
+                let members = asked.map_or_else(|_| Vec::new(), |(_, listing)| listing.members);
+                let drains = |member: &Listed| member.condition != Condition::Running;
+                return self.teller.drained(members.into_iter().filter(drains).collect());
             }
             let reply = asked.as_ref().map_or_else(|(reply, _)| *reply, |_| Reply::Told);
             self.schedule().answered(Instant::now(), reply);
@@ -474,17 +511,41 @@
         };
         open.send(by).map_err(fault("not sent"))?;
         let head = open.head(limits, by).map_err(fault("no answer"))?;
-        let body = open.body(&head, limits.list, by).map_err(fault("half an answer"))?;
+        let body = self.body(open, &head, by).map_err(fault("half an answer"))?;
         if !head.keeps() {
             *link = None;
         }
         if head.status != 200 {
             return Err((Reply::TurnedAway, format!("answered with {}", head.status)));
         }
-        let listing = self.read(&body, hold.is_none()).map_err(|e| (Reply::Broken, e))?;
+        let listing = self.read(&body, hold.is_none()).map_err(|e| {
+            self.teller.drained(Listed::drained_in(&body, &self.site.get()));
+            (Reply::Broken, e)
+        })?;
         Ok((address, listing))
     }
 
+    /// The whole body of an answer. What a part of it says of endpoints that drain is heeded as it comes: it was written, whether or
+    /// not the rest follows.
+    fn body(&self, open: &mut Link, head: &AnswerHead, by: Instant) -> Result<Vec<u8>, Fault> {
+        let mut looked_at = 0;
+        loop {
+            let look = Instant::now() + self.limits.list_look;
+            let fault = match open.body(head, self.limits.list, by.min(look)) {
+                Ok(body) => return Ok(body),
+                Err(fault) => fault,
+            };
+            let received = open.received();
+            if head.status == 200 && received.len() > looked_at {
+                looked_at = received.len();
+                self.teller.drained(Listed::drained_in(received, &self.site.get()));
+            }
+            if !matches!(fault, Fault::Late) || look >= by {
+                return Err(fault);
+            }
+        }
+    }
+
     fn read(&self, body: &[u8], whole: bool) -> Result<Listing, Complaint> {
         let text = std::str::from_utf8(body).map_err(|e| e.to_string())?;
         let listing = Listing::of(read(text)?, &self.site.get(), &self.limits)?;
