List: a second life heeds what the first was told, and how old its list was

Callers saw: a restarted sender called an endpoint 4.2 s after the process before it had been told of the drain, and 10.1 s after a change that neither was told of. Cause: a process believed the list it was started with, which may be older than what the one before knew, and took it for whole as of its own start. Change: the folder that lasts keeps the names of the endpoints that serve, the revision, who told it and as of when (crates/sender/src/list_file.rs, file list). What an older or another one's list names beyond them waits for a whole list, and the lease goes on from that moment once a question has failed.

--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -11,9 +11,11 @@
 use crate::keys::Keys;
 use crate::limits::Limits;
 use crate::list::{self, Listed, Listing};
+use crate::list_file::LastList;
 use crate::notices::Notice;
 use crate::peer::{self, Call, Part, Peer, Trunk};
 use crate::places::Places;
+use crate::platform::Platform;
 use crate::terms::{self, Table};
 use crate::wal::{self, Kept, Report, TextInfo, Wal};
 use crate::{log, log_account, log_decision, log_request, log_state, threads};
@@ -132,6 +134,7 @@
 }
 
 pub struct Decider {
+    pub remembers: Option<Remembers>,
     pub clock: Clock,
     pub limits: Arc<Limits>,
     pub counters: Arc<Counters>,
@@ -158,8 +161,18 @@
     pub intake: Arc<Intake>,
 }
 
+/// Where the list that was told last is kept for the next life.
+pub struct Remembers {
+    pub folder: PathBuf,
+    pub platform: Arc<Platform>,
+    /// Of the newest list that this life or the one before was told, and as of when it is whole.
+    pub revision: u64,
+    pub as_of: Moment,
+}
+
 struct Desk {
     clock: Clock,
+    remembers: Option<Remembers>,
     limits: Arc<Limits>,
     counters: Arc<Counters>,
     figures: Arc<Figures>,
@@ -241,6 +254,7 @@
         };
         let mut desk = Desk {
             clock: self.clock,
+            remembers: self.remembers,
             limits: self.limits,
             counters: self.counters,
             figures: self.figures,
@@ -486,11 +500,18 @@
             }
             Word::Listed(Some(listing)) => {
                 self.revision = Some(listing.revision);
+                self.remembers.iter_mut().for_each(|remembers| remembers.revision = listing.revision);
                 let scope = if listing.complete { Scope::Complete } else { Scope::Partial };
                 self.listed(scope, listing.members);
             }
-            Word::Drained(members) => self.listed(Scope::Partial, members),
-            Word::ListLease { until, as_of: _ } => self.events.push(Event::ListLease(until)),
+            Word::Drained(members) => {
+                self.listed(Scope::Partial, members);
+                self.remember(None);
+            }
+            Word::ListLease { until, as_of } => {
+                self.events.push(Event::ListLease(until));
+                self.remember(Some(as_of));
+            }
             Word::Listed(None) => {
                 self.events.push(Event::Listed { scope: Scope::Error, entries: Vec::new() })
             }
@@ -828,6 +849,22 @@
         out.iter().for_each(|name| self.maintain(name, true));
     }
 
+    /// Keeps what is known of the list for the next life. With a moment only where it is whole as of a later one than before.
+    fn remember(&mut self, whole: Option<Moment>) {
+        let Some(remembers) = &mut self.remembers else { return };
+        if whole.is_some_and(|as_of| as_of <= remembers.as_of) {
+            return;
+        }
+        let as_of = whole.unwrap_or(remembers.as_of);
+        let serving = self.places.serving().map(str::to_owned).collect();
+        let told_by = remembers.platform.address();
+        let last = LastList { revision: remembers.revision, told_by, as_of, serving };
+        match last.write(&remembers.folder) {
+            Ok(()) => remembers.as_of = as_of,
+            Err(e) => log!("the list can't be kept for the next start: {e}"),
+        }
+    }
+
     /// What the decisions are told of an endpoint that is over though the list goes on to name another one like it.
     fn deleted(&mut self, endpoint: EndpointId) -> Option<Entry> {
         let place = self.places.get(endpoint)?;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limits;
 pub mod link;
 pub mod list;
+pub mod list_file;
 pub mod log;
 pub mod notices;
 pub mod peer;
@@ -42,6 +43,7 @@
 use counters::Counters;
 use crossbeam_channel::{Receiver, bounded};
 use figures::Figures;
+use indigomast::time::Moment;
 use indigomast_admission::Budget;
 use indigomast_handover::{Incumbent, Move, Successor};
 use limits::Limits;
@@ -183,7 +185,7 @@
             seed,
             limits,
             mut site,
-            known,
+            mut known,
             keys,
             revision,
         } = config;
@@ -254,21 +256,34 @@
         let threadless = |e: std::io::Error| format!("no thread: {e}");
         let stack = limits.stack;
 
-        let mut platform = None;
+        let (mut platform, mut remembers) = (None, None);
+        let folder = state.clone();
         let (source, reporter): (Box<dyn Source>, Box<dyn Reporter>) = match outside {
             Outside::Own { source, reporter } => (source, reporter),
             Outside::Platform(discovery) => {
+                let last = list_file::LastList::read(&state);
+                let overruled = last
+                    .as_ref()
+                    .is_some_and(|last| last.overrules(&mut known.members, known.revision, discovery));
                 let there = Arc::clone(platform.insert(Arc::new(Platform::at(discovery))));
+                let remembered = last.as_ref().filter(|last| last.told_by == discovery);
+                remembers = Some(decider::Remembers {
+                    folder,
+                    platform: Arc::clone(&there),
+                    revision: remembered.map_or(known.revision, |last| last.revision.max(known.revision)),
+                    as_of: last.as_ref().map_or(Moment::default(), |last| last.as_of),
+                });
                 let actor = list::List {
                     platform: Arc::clone(&there),
                     site: Arc::clone(&in_force),
                     limits: Arc::clone(&limits),
                     revision: match &handover_state {
                         Some(handover_state) => handover_state.revision,
-                        None => Some(known.revision),
+                        // Those that were taken out serve again by a whole list only.
+                        None => Some(known.revision).filter(|_| !overruled),
                     },
                     clock,
-                    as_of: clock.now(),
+                    as_of: last.map_or(clock.now(), |last| last.as_of),
                 };
                 let post = notices::Post::new(Arc::clone(&limits));
                 (Box::new(actor), Box::new(notices::ToPlatform { platform: there, post }))
@@ -312,6 +327,7 @@
             false => None,
         };
         let actor = decider::Decider {
+            remembers,
             clock,
             limits: Arc::clone(&limits),
             counters: Arc::clone(&counters),
--- /dev/null
+++ b/crates/sender/src/list_file.rs
@@ -0,0 +1,80 @@
+//! What a sender was told last of its list, kept for the lives to come.
+//!
+//! The list that a process is started with may be older than what the process before was told, and no endpoint that drained by
+//! then may be called by it. So the folder that lasts keeps the names of the endpoints that served, and as of when: what is not among
+//! them serves again once a list says so.
+
+use crate::list::Listed;
+use crate::whole_file::{Lasting, replace};
+use indigomast::api::Condition;
+use indigomast::time::Moment;
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+
+const FILE: &str = "list";
+const HEAD: &str = "indigomast-list 1";
+/// In bytes. What is longer is kept without names: the next life then serves by what it is told itself.
+const MOST: usize = 64 << 10;
+
+/// What one life leaves to the next.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LastList {
+    pub revision: u64,
+    /// Who told it: another discovery counts otherwise.
+    pub told_by: SocketAddr,
+    /// It held all that discovery had at this moment of the folder's clock.
+    pub as_of: Moment,
+    pub serving: BTreeSet<String>,
+}
+
+impl LastList {
+    /// What the life before left; none where it left nothing that can be read.
+    pub fn read(folder: &Path) -> Option<LastList> {
+        let text = fs::read_to_string(folder.join(FILE)).ok()?;
+        let (body, sum) = text.strip_prefix(HEAD)?.strip_prefix('\n')?.rsplit_once("sum ")?;
+        let sum = u32::from_str_radix(sum.trim_end(), 16).ok()?;
+        if sum != crc32fast::hash(body.as_bytes()) {
+            return None;
+        }
+        let mut lines = body.lines();
+        let mut first = lines.next()?.split(' ');
+        let revision = first.next()?.parse().ok()?;
+        let told_by = first.next()?.parse().ok()?;
+        let as_of = first.next()?.parse::<f64>().ok().filter(|at| at.is_finite())?;
+        let serving = lines.map(str::to_owned).collect();
+        Some(LastList { revision, told_by, as_of: Moment::from_millis(as_of), serving })
+    }
+
+    /// # Errors
+    ///
+    /// It could not be written; what was there before is there still.
+    pub fn write(&self, folder: &Path) -> io::Result<()> {
+        let mut body = format!("{} {} {:?}\n", self.revision, self.told_by, self.as_of.as_millis());
+        if self.serving.iter().map(|name| name.len() + 1).sum::<usize>() <= MOST {
+            self.serving.iter().for_each(|name| _ = writeln!(body, "{name}"));
+        }
+        let sum = crc32fast::hash(body.as_bytes());
+        replace(folder, FILE, format!("{HEAD}\n{body}sum {sum:08x}\n").as_bytes(), Lasting::Process)
+    }
+
+    /// Takes out of service those of a list that this life no longer knew as serving, unless the list is newer; whether there
+    /// were any.
+    pub fn overrules(&self, members: &mut [Listed], revision: u64, listed_by: SocketAddr) -> bool {
+        if listed_by == self.told_by && revision > self.revision {
+            return false;
+        }
+        let mut any = false;
+        for member in members.iter_mut().filter(|member| !self.serving.contains(&member.name)) {
+            any |= member.condition == Condition::Running;
+            member.condition = Condition::Stopping;
+        }
+        any
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -105,6 +105,12 @@
         (at, place)
     }
 
+    /// The names of those that serve by the list.
+    pub fn serving(&self) -> impl Iterator<Item = &str> {
+        let on_it = |place: &&Place| place.condition == Condition::Running && place.off_since.is_none();
+        self.places.values().filter(on_it).map(|place| place.name.as_str())
+    }
+
     /// What the list said last of the endpoint of this name, as far as it is known.
     pub fn condition(&self, name: &str) -> Option<Condition> {
         let place = self.by_name.get(name).and_then(|at| self.places.get(at));
