List: a fleet of some tens asks no more than discovery answers

Cause: a fleet of 11 to 89 senders asked ten questions a second whatever discovery bears. Ruled out: an outage, as one of three was answered throughout.

--- a/crates/sender/src/poll_schedule.rs
+++ b/crates/sender/src/poll_schedule.rs
@@ -6,6 +6,9 @@
 //! whole fleet and reads the list once a round. It does not watch: a change ends the watches of all at once, and what
 //! changes in the moment after that counts as told to a sender that has begun to pause.
 //!
+//! How much discovery bears is not told, but that it works through one call after the other: what an answer takes tells how
+//! long a round of all has to be. A fleet whose own round is shorter than that goes by this one.
+//!
 //! Whatever a round is, a change counts as told some seconds after discovery had it and could be reached, to a sender whose
 //! last question failed. So a failed question is asked again within that time, less what an answer takes. Two signs tell of a
 //! discovery that is there and has too much to do, where asking sooner would keep it so: one that turned a call away after
@@ -56,8 +59,10 @@
 /// The turns of one sender.
 #[derive(Clone, Debug)]
 pub struct PollSchedule {
-    /// From one question to the next while they are answered.
+    /// From one question to the next while they are answered, and the least that may be.
     round: Duration,
+    shortest: Duration,
+    senders: u32,
     /// The same while discovery has too much to do, by now and at the most.
     pause: Duration,
     longest: Duration,
@@ -82,8 +87,11 @@
         let place = (number % senders) as f64 / senders as f64;
         let watches = wanted <= TAKES_TURNS;
         let turn = if watches { now } else { now + round.mul_f64(place) };
+        let (shortest, senders) = (round, senders.min(100_000) as u32);
         PollSchedule {
             round,
+            shortest,
+            senders,
             pause: round,
             longest,
             place,
@@ -103,7 +111,7 @@
 
     /// Whether the other has the same place in a round of the same length.
     pub fn goes_round_with(&self, other: &PollSchedule) -> bool {
-        (self.round, self.place, self.watches) == (other.round, other.place, other.watches)
+        (self.shortest, self.place, self.watches) == (other.shortest, other.place, other.watches)
     }
 
     /// How long to wait for this sender's turn.
@@ -130,22 +138,32 @@
             self.pause = self.round;
         }
         let pause = match reply {
-            Reply::Told => self.rejoin(),
+            Reply::Told => {
+                self.round = self.bearable_round(now);
+                // There are turns in the common round only.
+                if self.round > self.shortest { self.round } else { self.rejoin() }
+            }
             _ if swamped => {
                 let pause = self.pause;
                 self.pause = pause.mul_f64(GROWTH).min(self.longest);
                 pause
             }
-            _ if self.round < RETRY => self.retry(),
+            _ if self.shortest < RETRY => self.retry(),
             _ => RETRY,
         };
         self.next = self.asked + pause;
     }
 
+    /// A round in which discovery gets through the whole fleet, where a question waits for one other and then takes as long.
+    fn bearable_round(&self, now: Instant) -> Duration {
+        let took = now.saturating_duration_since(self.asked);
+        (took * self.senders / 2).clamp(self.shortest, self.longest.max(self.shortest))
+    }
+
     /// From a question that failed to the next, in a fleet that is not large.
     fn retry(&self) -> Duration {
         let growth = GROWTH.powi(self.failures.saturating_sub(1).min(8) as i32);
-        FIRST_RETRY.mul_f64(growth).min(self.round)
+        FIRST_RETRY.mul_f64(growth).min(self.shortest)
     }
 
     /// From the last question to the next turn, or halfway to the one after it where that comes too soon.
--- a/crates/sender/src/poll_schedule/tests.rs
+++ b/crates/sender/src/poll_schedule/tests.rs
@@ -32,6 +32,8 @@
     down: std::ops::Range<f64>,
     a_second: f64,
     free: f64,
+    /// A call that would wait too long is turned away at once and costs nothing.
+    looks_ahead: bool,
 }
 
 const PATIENCE: f64 = 2.0;
@@ -39,7 +41,7 @@
 impl Discovery {
     /// One that works through so many times the questions that settings ask of the fleet.
     fn of(senders: usize, times: f64, outage: Outage, down: std::ops::Range<f64>) -> Discovery {
-        Discovery { outage, down, a_second: wanted(senders) * times, free: 0.0 }
+        Discovery { outage, down, a_second: wanted(senders) * times, free: 0.0, looks_ahead: false }
     }
 
     /// When the call that comes at a moment ends, and how.
@@ -49,6 +51,9 @@
             return (at + after, reply);
         }
         let begins = self.free.max(at);
+        if self.looks_ahead && begins - at > PATIENCE {
+            return (at + 0.07, Reply::TurnedAway);
+        }
         self.free = begins + 1.0 / self.a_second;
         if begins - at > PATIENCE { (at + PATIENCE, Reply::TurnedAway) } else { (self.free, Reply::Told) }
     }
@@ -63,6 +68,8 @@
 struct Played {
     /// Questions in the order of time.
     asked: Vec<f64>,
+    /// When questions were turned away.
+    turned_away: Vec<f64>,
     /// How long after the outage each sender was first answered whose last question in it failed.
     told: Vec<f64>,
 }
@@ -102,6 +109,7 @@
         due.insert((micros(begins + one.wait(at(begins)).as_secs_f64()), number));
         fleet.push(one);
     }
+    let mut turned_away = Vec::new();
     let (mut asked, mut told, mut failed) = (Vec::new(), vec![f64::INFINITY; senders], vec![false; senders]);
     while let Some((moment, number)) = due.pop_first() {
         let now = moment as f64 / 1e6;
@@ -112,6 +120,7 @@
         let (end, reply) = discovery.call(now);
         fleet[number].asks(at(now));
         fleet[number].answered(at(end), reply);
+        turned_away.extend((reply != Reply::Told).then_some(now));
         match reply {
             Reply::Told if now >= discovery.down.end => {
                 told[number] = told[number].min(end - discovery.down.end);
@@ -122,7 +131,7 @@
         due.insert((micros(end + fleet[number].wait(at(end)).as_secs_f64()) + 1, number));
     }
     let told = told.into_iter().zip(failed).filter_map(|(told, failed)| failed.then_some(told)).collect();
-    Played { asked, told }
+    Played { asked, turned_away, told }
 }
 
 /// A change counts as told 6 s after discovery could be reached again, to every sender whose last question failed. The
@@ -176,6 +185,27 @@
     }
 }
 
+/// Discovery bears hardly more than settings ask of the fleet, which is less than a small one would ask by its number: it finds that out
+/// by how long answers take, and is turned away no more.
+#[test]
+fn a_fleet_of_some_tens_asks_no_more_than_discovery_bears() {
+    for senders in [11, 20, 32, 44, 70, 100] {
+        let bears = 1.13 * senders as f64 / TERM.as_secs_f64();
+        let discovery = Discovery {
+            outage: Outage::Silent,
+            down: 1e9..1e9,
+            a_second: bears,
+            free: 0.0,
+            looks_ahead: true,
+        };
+        let played = play(senders, discovery, 120.0);
+        let late = |all: &[f64]| all.iter().filter(|at| **at >= 60.0).count();
+        let (asked, turned_away) = (late(&played.asked), late(&played.turned_away));
+        assert!(turned_away * 20 <= asked, "{senders} senders: {turned_away} of {asked} turned away");
+        assert!(asked as f64 >= 0.8 * bears * 60.0, "{senders} senders: only {asked} asked");
+    }
+}
+
 /// The most questions that a fleet asks in any second of a minute, where every one ends `after` so long.
 fn busiest_second(senders: usize, after: Duration, reply: Reply) -> usize {
     let start = Instant::now();
