List: a process goes on with the questions of the one before, and whether they failed

Cause: of the age of a list the folder kept the moment and not that a question had failed, and the time without asking began anew with each process. Change: the folder keeps that as well, the time without asking counts from the last answer of any life, and the first question comes when the process before would have asked.

--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -74,10 +74,11 @@
     Listed(Option<Listing>),
     /// Endpoints that drain or are gone, by an answer that was not whole: nothing else is known of the list.
     Drained(Vec<Listed>),
-    /// Until when the list in force may be acted on, and as of when it is whole.
+    /// Until when the list in force may be acted on, as of when it is whole, and whether a question has failed since.
     ListLease {
         until: Option<Moment>,
         as_of: Moment,
+        failed: bool,
     },
     Reported(Vec<TextId>),
     /// An operator's.
@@ -168,6 +169,8 @@
     /// Of the newest list that this life or the one before was told, and as of when it is whole.
     pub revision: u64,
     pub as_of: Moment,
+    /// Whether a question has failed since.
+    pub failed: bool,
 }
 
 struct Desk {
@@ -506,11 +509,11 @@
             }
             Word::Drained(members) => {
                 self.listed(Scope::Partial, members);
-                self.remember(None);
+                self.remember();
             }
-            Word::ListLease { until, as_of } => {
+            Word::ListLease { until, as_of, failed } => {
                 self.events.push(Event::ListLease(until));
-                self.remember(Some(as_of));
+                self.confirm(as_of, failed);
             }
             Word::Listed(None) => {
                 self.events.push(Event::Listed { scope: Scope::Error, entries: Vec::new() })
@@ -849,19 +852,25 @@
         out.iter().for_each(|name| self.maintain(name, true));
     }
 
-    /// Keeps what is known of the list for the next life. With a moment only where it is whole as of a later one than before.
-    fn remember(&mut self, whole: Option<Moment>) {
+    /// The list is whole as of this moment, and whether a question has failed since: kept where it is news.
+    fn confirm(&mut self, as_of: Moment, failed: bool) {
         let Some(remembers) = &mut self.remembers else { return };
-        if whole.is_some_and(|as_of| as_of <= remembers.as_of) {
-            return;
+        let later = as_of > remembers.as_of;
+        if later || (failed && !remembers.failed) {
+            remembers.as_of = remembers.as_of.max(as_of);
+            remembers.failed = failed;
+            self.remember();
         }
-        let as_of = whole.unwrap_or(remembers.as_of);
+    }
+
+    /// Keeps what is known of the list for the next life.
+    fn remember(&self) {
+        let Some(Remembers { folder, platform, revision, as_of, failed }) = &self.remembers else { return };
         let serving = self.places.serving().map(str::to_owned).collect();
-        let told_by = remembers.platform.address();
-        let last = LastList { revision: remembers.revision, told_by, as_of, serving };
-        match last.write(&remembers.folder) {
-            Ok(()) => remembers.as_of = as_of,
-            Err(e) => log!("the list can't be kept for the next start: {e}"),
+        let (revision, as_of, failed) = (*revision, *as_of, *failed);
+        let last = LastList { revision, told_by: platform.address(), as_of, failed, serving };
+        if let Err(e) = last.write(folder) {
+            log!("the list can't be kept for the next start: {e}");
         }
     }
 
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -272,6 +272,7 @@
                     platform: Arc::clone(&there),
                     revision: remembered.map_or(known.revision, |last| last.revision.max(known.revision)),
                     as_of: last.as_ref().map_or(Moment::default(), |last| last.as_of),
+                    failed: last.as_ref().is_some_and(|last| last.failed),
                 });
                 let actor = list::List {
                     platform: Arc::clone(&there),
@@ -283,6 +284,7 @@
                         None => Some(known.revision).filter(|_| !overruled),
                     },
                     clock,
+                    asked_in_vain: last.as_ref().is_some_and(|last| last.failed),
                     as_of: last.map_or(clock.now(), |last| last.as_of),
                 };
                 let post = notices::Post::new(Arc::clone(&limits));
--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -159,8 +159,9 @@
     }
 
     /// Until when the list in force may be acted on, and as of when it is whole.
-    fn lease(&self, until: Option<Moment>, as_of: Moment) {
-        _ = self.decider.send(Word::ListLease { until, as_of });
+    fn lease(&self, lease: &ListLease, now: Moment) {
+        let (until, as_of, failed) = (lease.good_until(now), lease.as_of(), lease.has_failed());
+        _ = self.decider.send(Word::ListLease { until, as_of, failed });
     }
 
     /// What the list says now; none where asking failed, and then the one in force stays.
@@ -230,19 +231,23 @@
     /// Of the list that is known; none where discovery may be another one now.
     pub revision: Option<u64>,
     pub clock: Clock,
-    /// As of when the list that is known is whole.
+    /// As of when the list that is known is whole, and whether the process before has asked in vain since.
     pub as_of: Moment,
+    pub asked_in_vain: bool,
 }
 
 impl Source for List {
     /// Works through what is asked until nobody can ask any more.
     fn run(self: Box<Self>, asks: Receiver<Ask>, teller: Teller) {
-        let List { platform, site, limits, revision, clock, as_of } = *self;
+        let List { platform, site, limits, revision, clock, as_of, asked_in_vain } = *self;
         let unasked = !site.get().info.decode().must_subscribe;
         let revision = revision.map(|revision| (platform.address(), revision));
         let running = Mutex::new(Running { number: 0, stream: None, revision });
-        let poll_schedule = schedule(&site.get()).0;
-        let lease = ListLease::new(lease_settings(&site.get(), &poll_schedule), clock.now(), as_of);
+        let mut poll_schedule = schedule(&site.get()).0;
+        let age = duration(clock.now().since(as_of));
+        Instant::now().checked_sub(age).into_iter().for_each(|asked| poll_schedule.resumes(asked));
+        let settings = lease_settings(&site.get(), &poll_schedule);
+        let lease = ListLease::new(settings, clock.now(), as_of, asked_in_vain);
         let (schedule, lease) = (Mutex::new(poll_schedule), Mutex::new(lease));
         let desk = Desk { platform, site, limits, teller, running, schedule, clock, lease };
         let desk = Arc::new(desk);
@@ -302,7 +307,7 @@
         let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.clock.now();
         note(&mut lease, now);
-        self.teller.lease(lease.good_until(now), lease.as_of());
+        self.teller.lease(&lease, now);
     }
 
     /// One question outside of the watch.
--- a/crates/sender/src/list_file.rs
+++ b/crates/sender/src/list_file.rs
@@ -28,6 +28,8 @@
     pub told_by: SocketAddr,
     /// It held all that discovery had at this moment of the folder's clock.
     pub as_of: Moment,
+    /// A question has failed since.
+    pub failed: bool,
     pub serving: BTreeSet<String>,
 }
 
@@ -45,15 +47,17 @@
         let revision = first.next()?.parse().ok()?;
         let told_by = first.next()?.parse().ok()?;
         let as_of = first.next()?.parse::<f64>().ok().filter(|at| at.is_finite())?;
+        let failed = first.next()? == "failed";
         let serving = lines.map(str::to_owned).collect();
-        Some(LastList { revision, told_by, as_of: Moment::from_millis(as_of), serving })
+        Some(LastList { revision, told_by, as_of: Moment::from_millis(as_of), failed, serving })
     }
 
     /// # Errors
     ///
     /// It could not be written; what was there before is there still.
     pub fn write(&self, folder: &Path) -> io::Result<()> {
-        let mut body = format!("{} {} {:?}\n", self.revision, self.told_by, self.as_of.as_millis());
+        let asked = if self.failed { "failed" } else { "answered" };
+        let mut body = format!("{} {} {:?} {asked}\n", self.revision, self.told_by, self.as_of.as_millis());
         if self.serving.iter().map(|name| name.len() + 1).sum::<usize>() <= MOST {
             self.serving.iter().for_each(|name| _ = writeln!(body, "{name}"));
         }
--- a/crates/sender/src/poll_schedule.rs
+++ b/crates/sender/src/poll_schedule.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Goes on with the round of a process before, which asked last at this moment.
+    pub fn resumes(&mut self, asked: Instant) {
+        if !self.watches {
+            self.next = self.next.min(asked + self.round);
+        }
+    }
+
     /// Whether it asks to be told of changes as they come, one question after the other.
     pub fn watches(&self) -> bool {
         self.watches
--- a/crates/sender/tests/sender/crossings.rs
+++ b/crates/sender/tests/sender/crossings.rs
@@ -147,6 +147,7 @@
         revision: Some(41),
         clock: Clock::start(),
         as_of: Clock::start().now(),
+        asked_in_vain: false,
     };
     let ((decider, words), (asking, asks)) = (unbounded(), unbounded());
     let teller = Teller::new(decider, Arc::default());
--- a/crates/sender/tests/sender/list_age.rs
+++ b/crates/sender/tests/sender/list_age.rs
@@ -9,23 +9,23 @@
 use std::time::{Duration, Instant};
 
 /// A change counts as told at the latest so long after discovery had it and could be reached.
-const TOLD: Duration = Duration::from_secs(6);
+pub const TOLD: Duration = Duration::from_secs(6);
 /// What a sender may still send to an endpoint of which it was told that it drains, with the slack of all time limits.
-const GRACE: Duration = Duration::from_millis(1_050);
+pub const GRACE: Duration = Duration::from_millis(1_050);
 /// What a busy machine may add between the first byte of a call and the moment in which it is seen here.
-const SEEN_LATE: Duration = Duration::from_millis(150);
+pub const SEEN_LATE: Duration = Duration::from_millis(150);
 /// From one text to the next.
 const BEAT: Duration = Duration::from_millis(40);
 
 /// An endpoint that delivers all that comes, and keeps when it came.
-struct Endpoint {
-    host: Arc<Host>,
-    calls: Arc<Mutex<Vec<Instant>>>,
+pub struct Endpoint {
+    pub host: Arc<Host>,
+    pub calls: Arc<Mutex<Vec<Instant>>>,
     over: Arc<AtomicBool>,
 }
 
 impl Endpoint {
-    fn open() -> Endpoint {
+    pub fn open() -> Endpoint {
         let (host, calls) = (Arc::new(Host::open()), Arc::<Mutex<Vec<Instant>>>::default());
         let over = Arc::<AtomicBool>::default();
         let (serving, seen, ends) = (Arc::clone(&host), Arc::clone(&calls), Arc::clone(&over));
@@ -57,7 +57,7 @@
 }
 
 /// Says that something is over when it is dropped.
-struct Ends<'a>(&'a AtomicBool);
+pub struct Ends<'a>(pub &'a AtomicBool);
 
 impl Drop for Ends<'_> {
     fn drop(&mut self) {
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -15,6 +15,7 @@
 mod late;
 mod list_age;
 mod list_changes;
+mod list_soak;
 mod operations;
 mod owed;
 mod parts;
--- a/crates/sender/tests/sender/registry.rs
+++ b/crates/sender/tests/sender/registry.rs
@@ -36,6 +36,7 @@
 /// One call for the list.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
+    pub at: Instant,
     /// When its answer was written whole, or it failed; none while it is out.
     pub over: Option<Instant>,
     pub answered: bool,
@@ -44,6 +45,7 @@
 /// What has been said of an endpoint that drains or is gone.
 #[derive(Clone, Copy, Debug)]
 pub struct Drained {
+    pub since: Instant,
     /// When an answer that says so was first written whole, and when in part with that entry whole.
     pub told_whole: Option<Instant>,
     pub told_in_part: Option<Instant>,
@@ -60,6 +62,8 @@
     asked: Vec<Asked>,
     connections: Vec<TcpStream>,
     is_gone: bool,
+    /// When it was there again last.
+    back: Option<Instant>,
 }
 
 pub struct Registry {
@@ -84,6 +88,7 @@
             asked: Vec::new(),
             connections: Vec::new(),
             is_gone: false,
+            back: None,
         };
         let state = Arc::new(Mutex::new(state));
         let ours = Arc::clone(&state);
@@ -103,7 +108,7 @@
         for member in members {
             let name = member["id"].as_str().expect("a name").to_owned();
             if member["phase"] != "Ready" {
-                let drained = Drained { told_whole: None, told_in_part: None };
+                let drained = Drained { since: Instant::now(), told_whole: None, told_in_part: None };
                 state.drained.entry(name.clone()).or_insert(drained);
             }
             state.members.insert(name, (revision, member.clone()));
@@ -118,6 +123,7 @@
     pub fn is_gone(&self, gone: bool) {
         let mut state = self.state();
         state.is_gone = gone;
+        state.back = Some(Instant::now());
         let open = std::mem::take(&mut state.connections);
         open.iter().filter(|_| gone).for_each(|stream| _ = stream.shutdown(Shutdown::Both));
         drop(state);
@@ -129,6 +135,11 @@
         self.state().asked.clone()
     }
 
+    /// When it was gone, or came back, last.
+    pub fn back(&self) -> Option<Instant> {
+        self.state().back
+    }
+
     pub fn drained(&self) -> BTreeMap<String, Drained> {
         self.state().drained.clone()
     }
@@ -203,7 +214,7 @@
     let (number, manner) = {
         let mut state = state.lock().expect("sound");
         let number = state.asked.len();
-        state.asked.push(Asked { over: None, answered: false });
+        state.asked.push(Asked { at, over: None, answered: false });
         let manner = (state.manners)(number);
         (number, manner)
     };
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -71,14 +71,15 @@
 }
 
 impl ListLease {
-    /// For a process that begins now with a list that was whole at `as_of`, as far as is known.
-    pub fn new(settings: LeaseSettings, now: Moment, as_of: Moment) -> ListLease {
+    /// For a process that begins now with a list that was whole at `as_of`, as far as is known; `failed` where the process before
+    /// has asked in vain since.
+    pub fn new(settings: LeaseSettings, now: Moment, as_of: Moment, failed: bool) -> ListLease {
         ListLease {
             settings,
             begun: now,
             as_of: as_of.min(now),
             answered: false,
-            failures: 0,
+            failures: u32::from(failed),
             cut_off: None,
             unreachable: None,
             moved: None,
@@ -112,6 +113,11 @@
         self.moved = Some(now);
     }
 
+    /// Whether a question has failed since the last answer.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// As of when the list is known to be whole.
     pub fn as_of(&self) -> Moment {
         self.as_of
@@ -133,10 +139,9 @@
         let within = if poll_term == Span::ZERO { TOLD_WITHIN } else { poll_term.min(TOLD_WITHIN) };
         let reached = |from: Moment| from.max(self.unreachable.unwrap_or(from));
         let told = match subscription {
-            // It goes by the list that it was started with as by one that it asked for.
             Subscription::Polls if self.failures == 0 => {
                 let term = if poll_term == Span::ZERO { POLL_TERM } else { poll_term };
-                self.begun.max(self.as_of) + term
+                self.as_of + term
             }
             Subscription::Polls | Subscription::Watches => reached(self.as_of) + within,
             // What the agent has counts from the first moment of a process, and whether or not a watch is open.
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -14,7 +14,7 @@
 }
 
 fn lease(subscription: Subscription) -> ListLease {
-    ListLease::new(settings(subscription), at(0.0), at(0.0))
+    ListLease::new(settings(subscription), at(0.0), at(0.0), false)
 }
 
 #[track_caller]
@@ -54,10 +54,12 @@
 
 #[test]
 fn a_list_that_was_old_when_the_process_began_stays_so_once_a_question_failed() {
-    let mut lease = ListLease::new(settings(Subscription::Polls), at(0.0), at(-5_000.0));
-    good_until(&lease, 10.0, 10_000.0 + GRACE);
+    let mut lease = ListLease::new(settings(Subscription::Polls), at(0.0), at(-5_000.0), false);
+    good_until(&lease, 10.0, 5_000.0 + GRACE);
     lease.failed(at(200.0), Failure::Refused);
     good_until(&lease, 200.0, 1_000.0 + GRACE);
+    let in_vain = ListLease::new(settings(Subscription::Polls), at(0.0), at(-5_000.0), true);
+    good_until(&in_vain, 10.0, 1_000.0 + GRACE);
 }
 
 #[test]
@@ -118,6 +120,6 @@
 #[test]
 fn a_short_grace_is_not_overdrawn() {
     let short = LeaseSettings { drain_grace: Span::millis(100), ..settings(Subscription::Watches) };
-    let lease = ListLease::new(short, at(0.0), at(0.0));
+    let lease = ListLease::new(short, at(0.0), at(0.0), false);
     good_until(&lease, 10.0, 6_000.0);
 }
