Tests: stand-ins that confirm the list; a large fleet with a short term asks in its round

Two of them (a_kill_behind_each_point..., a_disk_that_fails...) held every question for the list for over 7 s, for which a sender may not go by it; what they are about needs no such discovery, and theirs now says after a second that nothing has changed. The third was right: 100 senders with a term of 1.2 s asked again after 1.0 s, before their round of 1.08 s; the quick retry goes by the size of the fleet now, not by its round.

--- a/crates/sender/src/poll_schedule.rs
+++ b/crates/sender/src/poll_schedule.rs
@@ -28,7 +28,7 @@
 /// A failed question is asked again after this at the latest: to that sender a change counts as told 6 s after discovery had
 /// it and could be reached, and an answer takes up to 1.5 s of these while the whole fleet asks so often.
 const RETRY: Duration = Duration::from_millis(4500);
-/// Where a round is shorter than that the fleet is small enough to ask again sooner, after a pause that grows with each failure: a
+/// A fleet whose questions are all out within that time is small enough to ask again sooner, after a pause that grows with each failure: a
 /// list whose lease lapsed holds up all that its sender has.
 const FIRST_RETRY: Duration = Duration::from_millis(1000);
 /// Where discovery has too much to do the next pause is longer by this much, as far as settings let a sender go without
@@ -155,8 +155,8 @@
                 self.pause = pause.mul_f64(GROWTH).min(self.longest);
                 pause
             }
-            _ if self.shortest < RETRY => self.retry(),
-            _ => RETRY,
+            _ if APART * self.senders < RETRY => self.retry(),
+            _ => self.shortest.min(RETRY),
         };
         self.next = self.asked + pause;
     }
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -182,6 +182,36 @@
     }
 }
 
+/// Questions for a list that does not change: each is answered after a while, for a sender may not go by a list that nobody
+/// confirms.
+#[derive(Default)]
+pub struct UnchangedList(Vec<Visit>);
+
+impl UnchangedList {
+    const HOLD: Duration = Duration::from_secs(1);
+
+    pub fn asked(&mut self, question: Visit) {
+        self.0.push(question);
+    }
+
+    /// Answers those that have waited, or are not to wait.
+    pub fn answer(&mut self) {
+        let due = |visit: &mut Visit| {
+            visit.came.elapsed() >= UnchangedList::HOLD || !visit.request.path.ends_with("hold_ms=4000")
+        };
+        for visit in self.0.extract_if(.., due) {
+            let from = visit.request.path.split("from=").nth(1).and_then(|rest| rest.split('&').next());
+            match from.and_then(|from| from.parse::<u64>().ok()) {
+                Some(from) => {
+                    let page = json!({"revision": from, "complete": false, "members": []});
+                    visit.answer(ok_json(&page.to_string()));
+                }
+                None => visit.hang_up(),
+            }
+        }
+    }
+}
+
 pub fn ok_json(body: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
