List: a fleet that starts again at once asks for its list in turns

Found on reading the change again: since a process asked at once where the last answer of the one before was over a round old, so a fleet that is restarted after an outage of discovery asked all together. Evidence: the new test a_fleet_that_starts_again_at_once_asks_in_turns, without the mend 56 questions in a second of 100 senders where 22 are allowed. Change: where that round is over the process has its own turn. The look now stands before each answer.

--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -245,7 +245,8 @@
         let running = Mutex::new(Running { number: 0, stream: None, revision });
         let mut poll_schedule = schedule(&site.get()).0;
         let age = duration(clock.now().since(as_of));
-        Instant::now().checked_sub(age).into_iter().for_each(|asked| poll_schedule.resumes(asked));
+        let now = Instant::now();
+        now.checked_sub(age).into_iter().for_each(|asked| poll_schedule.resumes(now, asked));
         let settings = lease_settings(&site.get(), &poll_schedule);
         let lease = ListLease::new(settings, clock.now(), as_of, asked_in_vain);
         let (schedule, lease) = (Mutex::new(poll_schedule), Mutex::new(lease));
--- a/crates/sender/src/poll_schedule.rs
+++ b/crates/sender/src/poll_schedule.rs
@@ -104,10 +104,12 @@
         }
     }
 
-    /// Goes on with the round of a process before, which asked last at this moment.
-    pub fn resumes(&mut self, asked: Instant) {
-        if !self.watches {
-            self.next = self.next.min(asked + self.round);
+    /// Goes on with the round of a process before, which asked last at this moment. Where that round is over the own turn stands:
+    /// a fleet that starts again at once would ask all together.
+    pub fn resumes(&mut self, now: Instant, asked: Instant) {
+        let due = asked + self.round;
+        if !self.watches && due > now {
+            self.next = self.next.min(due);
         }
     }
 
--- a/crates/sender/src/poll_schedule/tests.rs
+++ b/crates/sender/src/poll_schedule/tests.rs
@@ -206,6 +206,38 @@
     }
 }
 
+/// A fleet that is started again at once, as after an outage of discovery that was longer than a round, asks no more in any second than
+/// it did: each in its own turn, or when the process before would have asked.
+#[test]
+fn a_fleet_that_starts_again_at_once_asks_in_turns() {
+    for senders in [20, 100, 300] {
+        for age in [Duration::from_secs(3), Duration::from_secs(30)] {
+            let now = Instant::now() + Duration::from_secs(60);
+            let asks = |number: usize| {
+                let mut schedule = PollSchedule::new(now, number, senders, TERM);
+                // The last answers were as far apart as the turns are.
+                let round = wanted_round(senders);
+                schedule.resumes(now, now - age - round.mul_f64(number as f64 / senders as f64));
+                schedule.wait(now)
+            };
+            let mut asked: Vec<Duration> = (0..senders).map(asks).collect();
+            asked.sort();
+            let within = |from: &Duration| {
+                asked.iter().filter(|at| (*from..*from + Duration::from_secs(1)).contains(at)).count()
+            };
+            let most = asked.iter().map(within).max().unwrap_or(0);
+            assert!(
+                most as f64 <= 2.0 * wanted(senders) + 2.0,
+                "{senders} senders, {age:?}: {most} in a second"
+            );
+        }
+    }
+}
+
+fn wanted_round(senders: usize) -> Duration {
+    (APART * senders as u32).min(TERM.mul_f64(PART_OF_TERM))
+}
+
 /// The most questions that a fleet asks in any second of a minute, where every one ends `after` so long.
 fn busiest_second(senders: usize, after: Duration, reply: Reply) -> usize {
     let start = Instant::now();
--- a/crates/sender/tests/sender/registry.rs
+++ b/crates/sender/tests/sender/registry.rs
@@ -241,14 +241,7 @@
             over(false);
             return stream.write_all(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n").is_ok();
         }
-        Manner::AnswersLate(wait) => {
-            thread::sleep(wait);
-            // What is written to a sender that has ended the call, or is dead, tells it nothing: that is the 6 s sentence's.
-            if !is_open(stream) {
-                over(false);
-                return false;
-            }
-        }
+        Manner::AnswersLate(wait) => thread::sleep(wait),
         Manner::Answers | Manner::CutOff(_) => {}
     }
     let until = at + Duration::from_millis(hold);
@@ -260,6 +253,11 @@
             return false;
         }
     }
+    // What is written to a sender that has ended the call, or is dead, tells it nothing: that is for the 6 s sentence.
+    if !is_open(stream) {
+        over(false);
+        return false;
+    }
     // Under the lock, so that what is written is in force and its time is known.
     let mut held = state.lock().expect("sound");
     let (body, ends) = page(&held, from);
