--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -11,11 +11,10 @@
 use crate::keys::Keys;
 use crate::limits::Limits;
 use crate::list::{self, Listed, Listing};
-use crate::list_file::LastList;
+use crate::list_file::ListKeeper;
 use crate::notices::Notice;
 use crate::peer::{self, Call, Part, Peer, Trunk};
 use crate::places::Places;
-use crate::platform::Platform;
 use crate::terms::{self, Table};
 use crate::wal::{self, Kept, Report, TextInfo, Wal};
 use crate::{log, log_account, log_decision, log_request, log_state, threads};
@@ -135,8 +134,9 @@
 }
 
 pub struct Decider {
-    pub remembers: Option<Remembers>,
     pub clock: Clock,
+    /// Where what is told of the list is kept for the next life; none where no platform tells it.
+    pub list_keeper: Option<ListKeeper>,
     pub limits: Arc<Limits>,
     pub counters: Arc<Counters>,
     pub figures: Arc<Figures>,
@@ -162,20 +162,9 @@
     pub intake: Arc<Intake>,
 }
 
-/// Where the list that was told last is kept for the next life.
-pub struct Remembers {
-    pub folder: PathBuf,
-    pub platform: Arc<Platform>,
-    /// Of the newest list that this life or the one before was told, and as of when it is whole.
-    pub revision: u64,
-    pub as_of: Moment,
-    /// Whether a question has failed since.
-    pub failed: bool,
-}
-
 struct Desk {
     clock: Clock,
-    remembers: Option<Remembers>,
+    list_keeper: Option<ListKeeper>,
     limits: Arc<Limits>,
     counters: Arc<Counters>,
     figures: Arc<Figures>,
@@ -257,7 +246,7 @@
         };
         let mut desk = Desk {
             clock: self.clock,
-            remembers: self.remembers,
+            list_keeper: self.list_keeper,
             limits: self.limits,
             counters: self.counters,
             figures: self.figures,
@@ -503,17 +492,21 @@
             }
             Word::Listed(Some(listing)) => {
                 self.revision = Some(listing.revision);
-                self.remembers.iter_mut().for_each(|remembers| remembers.revision = listing.revision);
+                self.list_keeper.iter_mut().for_each(|keeper| keeper.told(listing.revision));
                 let scope = if listing.complete { Scope::Complete } else { Scope::Partial };
                 self.listed(scope, listing.members);
             }
             Word::Drained(members) => {
                 self.listed(Scope::Partial, members);
-                self.remember();
+                self.list_keeper.iter_mut().for_each(|keeper| keeper.keep(self.places.serving()));
             }
             Word::ListLease { until, as_of, failed } => {
                 self.events.push(Event::ListLease(until));
-                self.confirm(as_of, failed);
+                if let Some(keeper) = &mut self.list_keeper
+                    && keeper.confirmed(as_of, failed)
+                {
+                    keeper.keep(self.places.serving());
+                }
             }
             Word::Listed(None) => {
                 self.events.push(Event::Listed { scope: Scope::Error, entries: Vec::new() })
@@ -852,28 +845,6 @@
         out.iter().for_each(|name| self.maintain(name, true));
     }
 
-    /// The list is whole as of this moment, and whether a question has failed since: kept where it is news.
-    fn confirm(&mut self, as_of: Moment, failed: bool) {
-        let Some(remembers) = &mut self.remembers else { return };
-        let later = as_of > remembers.as_of;
-        if later || (failed && !remembers.failed) {
-            remembers.as_of = remembers.as_of.max(as_of);
-            remembers.failed = failed;
-            self.remember();
-        }
-    }
-
-    /// Keeps what is known of the list for the next life.
-    fn remember(&self) {
-        let Some(Remembers { folder, platform, revision, as_of, failed }) = &self.remembers else { return };
-        let serving = self.places.serving().map(str::to_owned).collect();
-        let (revision, as_of, failed) = (*revision, *as_of, *failed);
-        let last = LastList { revision, told_by: platform.address(), as_of, failed, serving };
-        if let Err(e) = last.write(folder) {
-            log!("the list can't be kept for the next start: {e}");
-        }
-    }
-
     /// What the decisions are told of an endpoint that is over though the list goes on to name another one like it.
     fn deleted(&mut self, endpoint: EndpointId) -> Option<Entry> {
         let place = self.places.get(endpoint)?;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -43,11 +43,11 @@
 use counters::Counters;
 use crossbeam_channel::{Receiver, bounded};
 use figures::Figures;
-use indigomast::time::Moment;
 use indigomast_admission::Budget;
 use indigomast_handover::{Incumbent, Move, Successor};
 use limits::Limits;
 use list::Source;
+use list_file::{LastList, ListKeeper};
 use notices::Reporter;
 use platform::Platform;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -256,24 +256,17 @@
         let threadless = |e: std::io::Error| format!("no thread: {e}");
         let stack = limits.stack;
 
-        let (mut platform, mut remembers) = (None, None);
-        let folder = state.clone();
+        let (mut platform, mut list_keeper) = (None, None);
         let (source, reporter): (Box<dyn Source>, Box<dyn Reporter>) = match outside {
             Outside::Own { source, reporter } => (source, reporter),
             Outside::Platform(discovery) => {
-                let last = list_file::LastList::read(&state);
+                let last = LastList::read(&state);
                 let overruled = last
                     .as_ref()
                     .is_some_and(|last| last.overrules(&mut known.members, known.revision, discovery));
                 let there = Arc::clone(platform.insert(Arc::new(Platform::at(discovery))));
-                let remembered = last.as_ref().filter(|last| last.told_by == discovery);
-                remembers = Some(decider::Remembers {
-                    folder,
-                    platform: Arc::clone(&there),
-                    revision: remembered.map_or(known.revision, |last| last.revision.max(known.revision)),
-                    as_of: last.as_ref().map_or(Moment::default(), |last| last.as_of),
-                    failed: last.as_ref().is_some_and(|last| last.failed),
-                });
+                let (folder, tells) = (state.clone(), Arc::clone(&there));
+                list_keeper = Some(ListKeeper::new(folder, tells, last.as_ref(), known.revision));
                 let actor = list::List {
                     platform: Arc::clone(&there),
                     site: Arc::clone(&in_force),
@@ -329,8 +322,8 @@
             false => None,
         };
         let actor = decider::Decider {
-            remembers,
             clock,
+            list_keeper,
             limits: Arc::clone(&limits),
             counters: Arc::clone(&counters),
             figures: Arc::clone(&figures),
--- a/crates/sender/src/list_file.rs
+++ b/crates/sender/src/list_file.rs
@@ -5,6 +5,8 @@
 //! them serves again once a list says so.
 
 use crate::list::Listed;
+use crate::log;
+use crate::platform::Platform;
 use crate::whole_file::{Lasting, replace};
 use indigomast::api::Condition;
 use indigomast::time::Moment;
@@ -13,7 +15,8 @@
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 const FILE: &str = "list";
 const HEAD: &str = "indigomast-list 1";
@@ -80,5 +83,58 @@
     }
 }
 
+/// Keeps the list of a life that runs for the next one.
+pub struct ListKeeper {
+    folder: PathBuf,
+    platform: Arc<Platform>,
+    last: LastList,
+}
+
+impl ListKeeper {
+    /// For a life that begins with a list of this revision, and with what the life before left.
+    pub fn new(folder: PathBuf, platform: Arc<Platform>, left: Option<&LastList>, known: u64) -> ListKeeper {
+        let told_by = platform.address();
+        let none = LastList {
+            revision: known,
+            told_by,
+            as_of: Moment::default(),
+            failed: false,
+            serving: BTreeSet::new(),
+        };
+        let last = match left {
+            Some(left) if left.told_by == told_by => {
+                LastList { revision: left.revision.max(known), ..left.clone() }
+            }
+            Some(left) => LastList { as_of: left.as_of, failed: left.failed, ..none },
+            None => none,
+        };
+        ListKeeper { folder, platform, last }
+    }
+
+    /// A list with this revision was told.
+    pub fn told(&mut self, revision: u64) {
+        self.last.revision = revision;
+    }
+
+    /// The list is whole as of this moment, and whether a question has failed since; whether that is news worth keeping.
+    pub fn confirmed(&mut self, as_of: Moment, failed: bool) -> bool {
+        let is_news = as_of > self.last.as_of || (failed && !self.last.failed);
+        if is_news {
+            self.last.as_of = self.last.as_of.max(as_of);
+            self.last.failed = failed;
+        }
+        is_news
+    }
+
+    /// Writes down which endpoints serve now, beside what was told.
+    pub fn keep<'a>(&mut self, serving: impl Iterator<Item = &'a str>) {
+        self.last.serving = serving.map(str::to_owned).collect();
+        self.last.told_by = self.platform.address();
+        if let Err(e) = self.last.write(&self.folder) {
+            log!("the list can't be kept for the next start: {e}");
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -182,6 +182,34 @@
     }
 }
 
+/// The seeds that an environment variable names as `FROM-TO`, or those from 1 on to `usual`.
+pub fn seeds(variable: &str, usual: u64) -> Vec<u64> {
+    let told = std::env::var(variable).ok();
+    let span = told.as_deref().and_then(|span| span.split_once('-'));
+    let span = span.and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
+    let (from, to) = span.unwrap_or((1, usual));
+    (from..=to).collect()
+}
+
+/// Plays seeds, four at once, and prints what was drawn for each and what went wrong.
+pub fn play_seeds(seeds: &[u64], play: fn(u64) -> Result<String, String>) {
+    let mut wrong = Vec::new();
+    for some in seeds.chunks(4) {
+        let found: Vec<_> = thread::scope(|scope| {
+            let plays: Vec<_> = some.iter().map(|seed| scope.spawn(move || play(*seed))).collect();
+            plays.into_iter().map(|play| play.join().expect("a play comes to its end")).collect()
+        });
+        for one in found {
+            let what = one.unwrap_or_else(|what| {
+                wrong.push(what.clone());
+                what
+            });
+            println!("{what}");
+        }
+    }
+    assert!(wrong.is_empty(), "{} of {} seeds: {}", wrong.len(), seeds.len(), wrong.join("\n"));
+}
+
 /// Questions for a list that does not change: each is answered after a while, for a sender may not go by a list that nobody
 /// confirms.
 #[derive(Default)]
--- a/crates/sender/tests/sender/list_soak.rs
+++ b/crates/sender/tests/sender/list_soak.rs
@@ -222,30 +222,8 @@
     if wrong.is_empty() { Ok(what) } else { Err(format!("{what}: {wrong:#?}")) }
 }
 
-fn seeds() -> Vec<u64> {
-    let told = std::env::var("INDIGOMAST_LIST_SOAK").ok();
-    let span = told.as_deref().and_then(|span| span.split_once('-'));
-    let span = span.and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
-    let (from, to) = span.unwrap_or((1, 4));
-    (from..=to).collect()
-}
-
 /// Guards against calls by a list that is old, was told in part, or is older than what an earlier life knew.
 #[test]
 fn no_call_goes_to_an_endpoint_that_the_sender_was_told_of() {
-    let mut wrong = Vec::new();
-    for some in seeds().chunks(4) {
-        let found: Vec<_> = thread::scope(|scope| {
-            let plays: Vec<_> = some.iter().map(|seed| scope.spawn(move || play(*seed))).collect();
-            plays.into_iter().map(|play| play.join().expect("a play comes to its end")).collect()
-        });
-        for one in found {
-            let what = one.unwrap_or_else(|what| {
-                wrong.push(what.clone());
-                what
-            });
-            println!("{what}");
-        }
-    }
-    assert!(wrong.is_empty(), "{} of {} seeds: {}", wrong.len(), seeds().len(), wrong.join("\n"));
+    play_seeds(&seeds("INDIGOMAST_LIST_SOAK", 4), play);
 }
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -350,7 +350,7 @@
         (Arc::clone(&counters), Arc::clone(&limits), None, None);
     #[rustfmt::skip]
     let actor = Decider {
-        remembers: None,
+        list_keeper: None,
         clock, limits, counters, figures, site, table, trunk, list, notices, wal, seed: 1, known, handover_state, handover,
     };
     Lone { actor, decider, words, reports, counted, limits: granted, folder }
--- a/crates/sender/tests/sender/soak.rs
+++ b/crates/sender/tests/sender/soak.rs
@@ -461,31 +461,7 @@
     if wrong.is_empty() { Ok(what) } else { Err(format!("{what}: {wrong:#?}")) }
 }
 
-fn seeds() -> Vec<u64> {
-    let told = std::env::var("INDIGOMAST_SOAK").ok();
-    let span = told.as_deref().and_then(|span| span.split_once('-'));
-    let span = span.and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
-    let (from, to) = span.unwrap_or((1, 8));
-    (from..=to).collect()
-}
-
 #[test]
 fn restarts_under_load_keep_every_promise() {
-    let mut wrong = Vec::new();
-    for some in seeds().chunks(4) {
-        let found: Vec<_> = thread::scope(|scope| {
-            let plays: Vec<_> = some.iter().map(|seed| scope.spawn(move || play(*seed))).collect();
-            plays.into_iter().map(|play| play.join().expect("a play comes to its end")).collect()
-        });
-        for one in found {
-            match one {
-                Ok(what) => println!("{what}"),
-                Err(what) => {
-                    println!("{what}");
-                    wrong.push(what);
-                }
-            }
-        }
-    }
-    assert!(wrong.is_empty(), "{} of {} seeds: {}", wrong.len(), seeds().len(), wrong.join("\n"));
+    play_seeds(&seeds("INDIGOMAST_SOAK", 8), play);
 }
