Tests: a wait told by an answer that breaks off, red; a reload and a hand-over cross

Three paths that had no test pass as they are: a reload to a discovery that refuses (4 s), a drain in part that a reload crosses, a hand-over with an old list.

--- a/crates/sender/tests/sender/extremes.rs
+++ b/crates/sender/tests/sender/extremes.rs
@@ -325,3 +325,29 @@
     assert_eq!(witness.without_end(&ids, Duration::from_secs(10)), [""; 0]);
     assert!(ids.iter().all(|id| witness.seen().delivered.contains_key(id)));
 }
+
+/// A wait counts from when its answer is written, and calls within 100 ms of that are let through. Here the answer's body breaks off
+/// behind a head that tells one.
+#[test]
+fn a_wait_told_by_an_answer_that_breaks_off_is_heeded() {
+    let (endpoint, discovery, folder) = (Host::open(), Host::open(), Folder::new());
+    let config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    let daemon = Daemon::start(&config, &folder);
+    for status in [429, 503] {
+        assert_eq!(daemon.hand_in("free", &format!("told-{status}"), 0), 202);
+        let visit = endpoint.next();
+        visit.answer(format!("HTTP/1.1 {status} X\r\nRetry-After: 1.5\r\nContent-Length: 9\r\n\r\nhalf"));
+        let told = Instant::now();
+        thread::sleep(Duration::from_millis(150));
+        assert_eq!(daemon.hand_in("free", &format!("next-{status}"), 0), 202);
+        let next = endpoint.next();
+        let after = next.came.saturating_duration_since(told);
+        assert!(
+            after >= Duration::from_millis(1_400),
+            "{status}: called {after:?} after a wait of 1.5 s was told"
+        );
+        next.status(200);
+        endpoint.next().status(200);
+        daemon.counts("delivered", if status == 429 { 2 } else { 4 });
+    }
+}
--- a/crates/sender/tests/sender/list_age.rs
+++ b/crates/sender/tests/sender/list_age.rs
@@ -3,6 +3,7 @@
 use crate::common::*;
 use crate::registry::{Manner, Registry};
 use serde_json::{Value, json};
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -331,3 +332,88 @@
         assert!(asked <= 45, "{senders} senders: asked {asked} times in 15 s");
     }
 }
+
+/// From SIGHUP on what discovery has to tell counts at the latest so long after it.
+const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
+
+/// A reload names another discovery, which can be reached and refuses each question.
+#[test]
+fn after_a_reload_to_a_discovery_that_refuses_no_endpoint_that_drains_is_called() {
+    for senders in [5, 30] {
+        let mut world = World::of(senders);
+        let daemon = Daemon::start(&world.config, &world.folder);
+        world.answered();
+        let members = [member("e0", &world.drains.host, 0, "Terminating")];
+        let other = Registry::open(&members, Box::new(|_| Manner::Refuses));
+        world.config["discovery"] = json!(other.address.to_string());
+        let told = world.under_load(&daemon, || {
+            std::fs::write(world.folder.0.join("config.json"), world.config.to_string())
+                .expect("the folder is there");
+            let told = Instant::now();
+            daemon.signal("-HUP");
+            thread::sleep(Duration::from_millis(7_000));
+            told
+        });
+        let last = world.drains.last_after(told);
+        assert!(
+            last <= TOLD_AFTER_RELOAD + GRACE + SEEN_LATE,
+            "{senders} senders: called {last:?} after SIGHUP"
+        );
+        assert!(other.asked().len() > 1, "{senders} senders: it was asked");
+    }
+}
+
+/// A reload crosses an answer of the old discovery that has named a drain and is not whole.
+#[test]
+fn a_drain_told_by_the_discovery_before_a_reload_is_heeded() {
+    let (drains, stays) = (Endpoint::open(), Endpoint::open());
+    let (before, after) = (Host::open(), Host::open());
+    let members = [member("e0", &drains.host, 0, "Ready"), member("e1", &stays.host, 0, "Ready")];
+    let (mut config, folder) = (config(&members, before.address), Folder::new());
+    let daemon = Daemon::start(&config, &folder);
+    let watch = before.next();
+    for at in 0..20 {
+        assert_eq!(daemon.hand_in("free", &format!("a{at}"), 0), 202);
+    }
+    daemon.counts("delivered", 20);
+    config["discovery"] = json!(after.address.to_string());
+    std::fs::write(folder.0.join("config.json"), config.to_string()).expect("the folder is there");
+    let page = json!({"revision": 42, "complete": false,
+        "members": [member("e0", &drains.host, 0, "Terminating")]});
+    let mut raw = ok_json(&page.to_string());
+    raw.truncate(raw.len() - 1);
+    watch.answer(raw);
+    let told = Instant::now();
+    while before.answered() == 0 {
+        assert!(told.elapsed() < PATIENCE, "it is written");
+    }
+    daemon.signal("-HUP");
+    let _asked = after.next();
+    thread::sleep((GRACE + SEEN_LATE).saturating_sub(told.elapsed()));
+    for at in 0..40 {
+        assert_eq!(daemon.hand_in("free", &format!("b{at}"), 0), 202);
+    }
+    daemon.counts("delivered", 60);
+    let last = drains.last_after(told);
+    assert!(last <= GRACE + SEEN_LATE, "called {last:?} after it was told");
+}
+
+/// A process takes over from one whose list grew old: it is as old to the new one, whose questions fail as well.
+#[test]
+fn a_list_grows_no_younger_by_a_hand_over() {
+    let world = World::of(30);
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let mut old = Daemon::sharing(&world.config, &world.folder, &socket);
+    old.line_with("listens on ");
+    world.answered();
+    world.registry.treats(Box::new(|_| Manner::Refuses));
+    let changed = Instant::now();
+    world.drain();
+    thread::sleep(Duration::from_millis(4_500));
+    let new = Daemon::sharing(&world.config, &world.folder, &socket);
+    new.line_with("listens on ");
+    assert_eq!(old.wait(), Some(0));
+    world.under_load(&new, || thread::sleep(Duration::from_millis(5_000)));
+    let last = world.drains.last_after(changed);
+    assert!(last <= TOLD + GRACE + SEEN_LATE, "called {last:?} after the change");
+}
