Peer: a wait told by an answer that breaks off is heeded

Cause: of an answer whose body is not whole nothing was believed, the wait in its head neither, and the body was waited for beyond the 100 ms in which calls are let through. Change: the wait is told with the error, and such a body has 60 ms. What the texts are in doubt of stays.

--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -199,6 +199,8 @@
     pub linger_bytes: usize,
     /// The rest of an answer must follow its beginning within this; interim answers before one.
     pub answer_rest: Duration,
+    /// The same where the beginning tells a wait: calls are let through for 100 ms behind it.
+    pub wait_rest: Duration,
     pub interim: usize,
     /// After an answer a connection carries the next call no sooner than this: more may come behind it.
     pub link_settle: Duration,
@@ -330,6 +332,7 @@
             bad_pause: Duration::from_millis(100),
             linger_bytes: 256 << 10,
             answer_rest: Duration::from_millis(250),
+            wait_rest: Duration::from_millis(60),
             interim: 32,
             link_settle: Duration::from_millis(3),
             link_margin: Duration::from_millis(250),
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -407,8 +407,8 @@
             _ if !many && head.status == 200 => self.tell_all(call, &head, None),
             Some(_) if head.status != 200 => self.tell_all(call, &head, None),
             Some(body) => self.tell_all(call, &head, Some(&body)),
-            // Nothing else in it can be believed, not even that it never ran.
-            None => call.tell(|_| Verdict::Error.into()),
+            // Nothing else in it can be believed, not even that it never ran. But a wait was told as its head was written.
+            None => call.tell(|_| Said { told_wait: told_wait(&head), ..Verdict::Error.into() }),
         }
         keeps
     }
@@ -506,7 +506,9 @@
                 return Err(Verdict::Error);
             }
         };
-        let body = link.body(&head, limits.body, Instant::now() + limits.answer_rest);
+        let tells_wait = head.status != 200 && told_wait(&head).is_some();
+        let rest = if tells_wait { limits.wait_rest } else { limits.answer_rest };
+        let body = link.body(&head, limits.body, Instant::now() + rest);
         if let Err(fault) = &body {
             log!("half an answer from {}: {fault:?}", self.address);
         }
