Log: each call with its connection, and bytes that nobody asked for

Change: a number for each connection to an endpoint and its count of calls, in lines for a call that left, an answer, a close; bytes that nobody asked for are told at the usual level and counted; counters of connections made and used again.

--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -34,6 +34,9 @@
     no_descriptor,
     withdrawn,
     calls,
+    endpoint_connections,
+    endpoint_reuses,
+    unasked,
     submitted,
     delivered,
     errors,
@@ -82,6 +85,11 @@
         self.0.fetch_add(count as u64, Ordering::Relaxed);
     }
 
+    /// Counts one more; how many there are with it, which no other caller is told.
+    pub fn next(&self) -> u64 {
+        self.0.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     pub fn value(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
--- a/crates/sender/src/link.rs
+++ b/crates/sender/src/link.rs
@@ -28,6 +28,27 @@
     Garbled(Garbled),
 }
 
+/// How a connection is found that no call is out on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AtRest {
+    Quiet,
+    /// The other end has closed it, or it broke.
+    Ended,
+    /// Bytes lie there that nobody asked for.
+    Unasked,
+}
+
+impl AtRest {
+    /// Why it carries no other call.
+    pub fn reason(self) -> &'static str {
+        match self {
+            AtRest::Quiet => "it rests",
+            AtRest::Ended => "it was found ended",
+            AtRest::Unasked => "bytes came that nobody asked for",
+        }
+    }
+}
+
 /// What is left until `by`; a socket takes no time-out of zero.
 fn left(by: Instant) -> Option<Duration> {
     by.checked_duration_since(Instant::now()).filter(|left| *left >= Duration::from_micros(100))
@@ -67,14 +88,26 @@
     /// copy of an answer follows the first by a moment; taken for the answer to the next call it would end a text
     /// that has not run, so that moment is waited for.
     pub fn sound(&self, limits: &Limits) -> bool {
+        self.at_rest(limits) == AtRest::Quiet
+    }
+
+    /// The same, with what was found.
+    pub fn at_rest(&self, limits: &Limits) -> AtRest {
         if let Some(answered) = self.answered {
             thread::sleep(limits.link_settle.saturating_sub(answered.elapsed()));
         }
-        if self.ended || !self.inward.is_empty() || self.stream.set_nonblocking(true).is_err() {
-            return false;
+        if !self.inward.is_empty() {
+            return AtRest::Unasked;
+        }
+        if self.ended || self.stream.set_nonblocking(true).is_err() {
+            return AtRest::Ended;
         }
-        let quiet = matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
-        self.stream.set_nonblocking(false).is_ok() && quiet
+        let found = match self.stream.peek(&mut [0]) {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => AtRest::Quiet,
+            Ok(1..) => AtRest::Unasked,
+            _ => AtRest::Ended,
+        };
+        if self.stream.set_nonblocking(false).is_err() { AtRest::Ended } else { found }
     }
 
     /// Sends what stands in the outward ring. On a fault the last byte has not left.
@@ -155,6 +188,11 @@
         }
     }
 
+    /// How many bytes have come and were not taken.
+    pub fn untaken(&self) -> usize {
+        self.inward.len()
+    }
+
     /// What has come so far of the answer that is being read, behind its head.
     pub fn received(&mut self) -> &[u8] {
         self.inward.bytes()
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -10,13 +10,14 @@
 use crate::figures::Figures;
 use crate::http::{self, AnswerHead};
 use crate::limits::Limits;
-use crate::link::{self, Fault, Link};
+use crate::link::{self, AtRest, Fault, Link};
 use crate::{Mailbox, log, log_account, log_request, threads};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use indigomast::api::*;
 use indigomast::time::Span;
 use indigomast_admission::{Budget, Purpose};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -82,6 +83,16 @@
     }
 }
 
+impl fmt::Display for Call {
+    /// The ids of its texts.
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (at, part) in self.parts.iter().enumerate() {
+            write!(f, "{}{}", if at > 0 { "," } else { "" }, part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// A text's submit, which a later one of the same text is not.
 pub type Submit = (TextId, usize);
 
@@ -272,6 +283,8 @@
             trunk: Arc::clone(&trunk),
             tie: Arc::clone(&tie),
             link: None,
+            connection: 0,
+            calls: 0,
         };
         let peer = self.own.clone();
         let work = move || {
@@ -378,6 +391,9 @@
     trunk: Arc<Trunk>,
     tie: SharedTie,
     link: Option<Link>,
+    /// The connection's own number in this process, and how many calls it has carried.
+    connection: u64,
+    calls: u64,
 }
 
 impl Carrier {
@@ -396,10 +412,15 @@
                 return false;
             }
         };
+        self.log_answer(call, &head, body.as_deref());
         let keeps = body.is_some() && head.keeps() && self.link.as_ref().is_some_and(Link::is_clean);
         if keeps {
             rests();
         } else {
+            let untaken = self.link.as_ref().map_or(0, Link::untaken);
+            if body.is_some() && untaken > 0 {
+                self.log_unasked("behind an answer", untaken);
+            }
             self.drop_link("the answer was its last");
         }
         match body {
@@ -416,11 +437,34 @@
     fn drop_link(&mut self, reason: &str) {
         lock(&self.tie).stream = None;
         if let Some(link) = self.link.take() {
-            log_request!(endpoint = self.endpoint.0, address:% = self.address, reason; "connection closed");
+            log_request!(
+                endpoint = self.endpoint.0, address:% = self.address, connection = self.connection,
+                calls = self.calls, reason;
+                "connection closed"
+            );
             link.shut();
         }
     }
 
+    /// What came back for a call. What its texts are taken for stands in the line of each call's end.
+    fn log_answer(&self, call: &Call, head: &AnswerHead, body: Option<&[u8]>) {
+        log_request!(
+            ids:% = call, endpoint = self.endpoint.0, connection = self.connection, calls = self.calls,
+            status = head.status, bytes = body.map_or(-1, |body| body.len() as i64),
+            after_ms = call.sent.elapsed().as_millis();
+            "answer"
+        );
+    }
+
+    fn log_unasked(&self, when: &str, bytes: usize) {
+        self.trunk.counters.unasked.add(1);
+        log!(
+            endpoint = self.endpoint.0, address:% = self.address, connection = self.connection, calls = self.calls,
+            when, bytes;
+            "bytes that nobody asked for"
+        );
+    }
+
     /// What this sender has not enough of is no fault of the endpoint's.
     fn unopened(&self, e: &std::io::Error) -> Verdict {
         if !link::is_shortage(e) {
@@ -434,13 +478,20 @@
     /// Sends the call; an error means that its last byte has not left. A text whose time is up before the call can leave
     /// stays behind: the others of its call don't hang on it.
     fn send(&mut self, call: &mut Call) -> Result<(), Verdict> {
-        if !self.link.as_ref().is_some_and(|link| link.sound(&self.trunk.limits)) {
-            self.drop_link("it was found ended");
+        let found = self.link.as_ref().map(|link| link.at_rest(&self.trunk.limits));
+        if found == Some(AtRest::Quiet) {
+            self.trunk.counters.endpoint_reuses.add(1);
+        } else {
+            if found == Some(AtRest::Unasked) {
+                self.log_unasked("at rest", self.link.as_ref().map_or(0, Link::untaken));
+            }
+            self.drop_link(found.unwrap_or(AtRest::Ended).reason());
             let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
             let left = latest.saturating_duration_since(Instant::now());
             log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
             let opened = Link::open(self.address, left.min(self.trunk.site.get().connect_time));
             self.link = Some(opened.map_err(|e| self.unopened(&e))?);
+            (self.connection, self.calls) = (self.trunk.counters.endpoint_connections.next(), 0);
         }
         let now = Instant::now();
         let late = call.parts.extract_if(.., |part| now >= part.by.min(part.leave_by)).collect();
@@ -486,6 +537,12 @@
         call.left = true;
         link.send(by).map_err(|_| Verdict::ConnectFailed)?;
         self.trunk.figures.sends.add(call.parts.len());
+        self.calls += 1;
+        log_request!(
+            ids:% = call, endpoint = self.endpoint.0, address:% = self.address, connection = self.connection,
+            calls = self.calls;
+            "call left"
+        );
         Ok(())
     }
 
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -24,6 +24,7 @@
 mod reload;
 mod samples;
 mod scale_bounds;
+mod second_answers;
 mod soak;
 mod sockets;
 mod witness;
