--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -25,22 +25,62 @@
     Limits::of(Grant::new(192, 1024, 3.0))
 }
 
+/// What a test has a host do with the connection of a request that waits for its answer.
+enum Reply {
+    /// Writes bytes that are not the answer.
+    Beside(Vec<u8>),
+    Answer(Vec<u8>),
+    HangUp,
+}
+
 /// A request that has come, and the way to answer it.
 pub struct Visit {
     pub request: Request,
+    /// Connections to a host are numbered as they are accepted.
+    pub connection: usize,
     /// How many turns its host had taken when the connection was accepted, however late the request is read.
     pub turn: usize,
     /// When its last byte was read.
     pub came: Instant,
     /// Whether the sender has ended the connection instead of waiting on.
     pub gone: Arc<AtomicBool>,
-    answer: Sender<Option<Vec<u8>>>,
+    reply: Sender<Reply>,
 }
 
 impl Visit {
     /// Answers with these bytes; the connection stays.
     pub fn answer(self, raw: impl Into<Vec<u8>>) {
-        self.answer.send(Some(raw.into())).expect("the connection waits for its answer");
+        self.reply.send(Reply::Answer(raw.into())).expect("the connection waits for its answer");
+    }
+
+    /// Writes bytes that are not the answer, which is still to come.
+    pub fn writes_beside(&self, raw: impl Into<Vec<u8>>) {
+        self.reply.send(Reply::Beside(raw.into())).expect("the connection waits for its answer");
+    }
+
+    /// The ids of the messages that the call carries.
+    pub fn ids(&self) -> Vec<String> {
+        if !self.request.path.ends_with(":batch") {
+            return vec![self.header("x-request-id").to_owned()];
+        }
+        // Of a message's line its length is the third word; its bytes follow, and a line's end.
+        let (mut ids, mut rest) = (Vec::new(), &self.request.body[..]);
+        while let Some(end) = rest.windows(2).position(|pair| pair == b"\r\n") {
+            let line = String::from_utf8_lossy(&rest[..end]).into_owned();
+            let words: Vec<&str> = line.split(' ').collect();
+            let length: usize = words[2].parse().expect("a length");
+            ids.push(words[0].to_owned());
+            rest = &rest[end + 2 + length + 2..];
+        }
+        ids
+    }
+
+    /// What is answered where each message of the call is delivered.
+    pub fn all_done(&self) -> Vec<u8> {
+        if !self.request.path.ends_with(":batch") {
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_vec();
+        }
+        ok_json(&self.ids().iter().map(|id| format!("{id} done\r\n")).collect::<String>())
     }
 
     pub fn status(self, status: u16) {
@@ -49,7 +89,7 @@
 
     /// Breaks the connection without an answer.
     pub fn hang_up(self) {
-        self.answer.send(None).expect("the connection waits for its answer");
+        self.reply.send(Reply::HangUp).expect("the connection waits for its answer");
     }
 
     pub fn header(&self, name: &str) -> &str {
@@ -78,6 +118,9 @@
     ends.map(|end| (part(&end, "id"), part(&end, "status"))).collect()
 }
 
+/// How a host serves one connection, of such a turn and number.
+type Serve = fn(TcpStream, (usize, usize), &Sender<Visit>, &Arc<AtomicUsize>);
+
 /// A server each of whose requests waits in a queue until the test answers it.
 pub struct Host {
     pub address: SocketAddr,
@@ -89,7 +132,17 @@
 }
 
 impl Host {
+    /// A request on a connection is read once the one before it has its answer.
     pub fn open() -> Host {
+        Host::serving(Host::serve)
+    }
+
+    /// Requests are read as they come, also such as come before the one ahead of them on their connection has its answer.
+    pub fn reading_ahead() -> Host {
+        Host::serving(Host::serve_ahead)
+    }
+
+    fn serving(serve: Serve) -> Host {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
         let (arrivals, visits) = unbounded();
@@ -99,7 +152,7 @@
         let (count, turns) = (Arc::clone(&connections), Arc::clone(&marks));
         let written = Arc::clone(&answered);
         thread::spawn(move || {
-            let mut turn = 0;
+            let (mut turn, mut connection) = (0, 0);
             for stream in listener.incoming().flatten() {
                 let from = stream.peer_addr();
                 if from.is_ok_and(|from| turns.lock().expect("sound").remove(&from)) {
@@ -108,7 +161,8 @@
                 }
                 count.fetch_add(1, Ordering::Relaxed);
                 let (arrivals, written) = (arrivals.clone(), Arc::clone(&written));
-                thread::spawn(move || Host::serve(stream, turn, &arrivals, &written));
+                connection += 1;
+                thread::spawn(move || serve(stream, (turn, connection), &arrivals, &written));
             }
         });
         Host { address, visits, connections, answered, marks }
@@ -128,24 +182,31 @@
         assert!(matches!(stream.read(&mut [0]), Ok(0)), "the host ends it when it has accepted it");
     }
 
-    fn serve(mut stream: TcpStream, turn: usize, arrivals: &Sender<Visit>, written: &AtomicUsize) {
+    fn serve(
+        mut stream: TcpStream,
+        (turn, connection): (usize, usize),
+        arrivals: &Sender<Visit>,
+        written: &Arc<AtomicUsize>,
+    ) {
         let (mut ring, limits) = (Ring::default(), Limits { body: 1 << 20, ..limits() });
         loop {
             while let Some(request) = take_request(&mut ring, &limits).expect("senders speak HTTP") {
-                let (answer, answered) = unbounded();
+                let (reply, replies) = unbounded();
                 let gone = Arc::<AtomicBool>::default();
-                let visit = Visit { request, turn, came: Instant::now(), gone: Arc::clone(&gone), answer };
+                let (came, is_gone) = (Instant::now(), Arc::clone(&gone));
+                let visit = Visit { request, connection, turn, came, gone: is_gone, reply };
                 if arrivals.send(visit).is_err() {
                     return;
                 }
                 let raw = loop {
-                    match answered.recv_timeout(LOOKS) {
-                        Ok(Some(raw)) => break raw,
+                    match replies.recv_timeout(LOOKS) {
+                        Ok(Reply::Answer(raw)) => break raw,
+                        Ok(Reply::Beside(raw)) => _ = stream.write_all(&raw),
                         Err(RecvTimeoutError::Timeout) if is_ended(&stream) => {
                             gone.store(true, Ordering::SeqCst);
                         }
                         Err(RecvTimeoutError::Timeout) => {}
-                        Ok(None) | Err(RecvTimeoutError::Disconnected) => return,
+                        Ok(Reply::HangUp) | Err(RecvTimeoutError::Disconnected) => return,
                     }
                 };
                 if stream.write_all(&raw).is_err() {
@@ -159,6 +220,50 @@
         }
     }
 
+    fn serve_ahead(
+        mut stream: TcpStream,
+        (turn, connection): (usize, usize),
+        arrivals: &Sender<Visit>,
+        written: &Arc<AtomicUsize>,
+    ) {
+        let (mut ring, limits, gone) = (Ring::default(), limits(), Arc::<AtomicBool>::default());
+        let outward = Arc::new(Mutex::new(stream.try_clone().expect("a copy")));
+        loop {
+            while let Some(request) = take_request(&mut ring, &limits).expect("senders speak HTTP") {
+                let (reply, replies) = unbounded();
+                let (came, is_gone) = (Instant::now(), Arc::clone(&gone));
+                let visit = Visit { request, connection, turn, came, gone: is_gone, reply };
+                if arrivals.send(visit).is_err() {
+                    return;
+                }
+                let (outward, written) = (Arc::clone(&outward), Arc::clone(written));
+                thread::spawn(move || Host::replies(&outward, &replies, &written));
+            }
+            if !matches!(ring.fill(&mut stream), Ok(count) if count > 0) {
+                gone.store(true, Ordering::SeqCst);
+                return;
+            }
+        }
+    }
+
+    /// Writes what a test says of one request.
+    fn replies(outward: &Mutex<TcpStream>, replies: &Receiver<Reply>, written: &AtomicUsize) {
+        let write = |raw: &[u8]| outward.lock().expect("sound").write_all(raw).is_ok();
+        loop {
+            match replies.recv() {
+                Ok(Reply::Beside(raw)) => _ = write(&raw),
+                Ok(Reply::Answer(raw)) => {
+                    written.fetch_add(usize::from(write(&raw)), Ordering::SeqCst);
+                    return;
+                }
+                Ok(Reply::HangUp) | Err(_) => {
+                    _ = outward.lock().expect("sound").shutdown(std::net::Shutdown::Both);
+                    return;
+                }
+            }
+        }
+    }
+
     pub fn next_within(&self, time: Duration) -> Option<Visit> {
         self.visits.recv_timeout(time).ok()
     }
