--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -60,19 +60,7 @@
 
     /// The ids of the messages that the call carries.
     pub fn ids(&self) -> Vec<String> {
-        if !self.request.path.ends_with(":batch") {
-            return vec![self.header("x-request-id").to_owned()];
-        }
-        // Of a message's line its length is the third word; its bytes follow, and a line's end.
-        let (mut ids, mut rest) = (Vec::new(), &self.request.body[..]);
-        while let Some(end) = rest.windows(2).position(|pair| pair == b"\r\n") {
-            let line = String::from_utf8_lossy(&rest[..end]).into_owned();
-            let words: Vec<&str> = line.split(' ').collect();
-            let length: usize = words[2].parse().expect("a length");
-            ids.push(words[0].to_owned());
-            rest = &rest[end + 2 + length + 2..];
-        }
-        ids
+        ids_of(&self.request)
     }
 
     /// What is answered where each message of the call is delivered.
@@ -97,6 +85,23 @@
     }
 }
 
+/// The ids of the messages that a call carries.
+pub fn ids_of(request: &Request) -> Vec<String> {
+    if !request.path.ends_with(":batch") {
+        return vec![request.headers.get("x-request-id").unwrap_or("").to_owned()];
+    }
+    // Of a message's line its length is the third word; its bytes follow, and a line's end.
+    let (mut ids, mut rest) = (Vec::new(), &request.body[..]);
+    while let Some(end) = rest.windows(2).position(|pair| pair == b"\r\n") {
+        let line = String::from_utf8_lossy(&rest[..end]).into_owned();
+        let words: Vec<&str> = line.split(' ').collect();
+        let length: usize = words[2].parse().expect("a length");
+        ids.push(words[0].to_owned());
+        rest = &rest[end + 2 + length + 2..];
+    }
+    ids
+}
+
 /// How often a connection whose request waits for its answer is looked at.
 const LOOKS: Duration = Duration::from_millis(10);
 
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -25,6 +25,7 @@
 mod samples;
 mod scale_bounds;
 mod second_answers;
+mod second_answers_soak;
 mod soak;
 mod sockets;
 mod witness;
