--- /dev/null
+++ b/crates/sender/src/carrier.rs
@@ -0,0 +1,282 @@
+//! The thread of one connection to an endpoint: it sends a call, waits for the answer, and reports what became of it.
+
+use crate::answer::{self, Answered};
+use crate::call::{Call, Submit};
+use crate::http::{self, AnswerHead};
+use crate::link::{self, AtRest, Fault, Link};
+use crate::peer::Trunk;
+use crate::{log, log_account, log_request};
+use indigomast::api::{EndpointId, Verdict};
+use std::collections::BTreeMap;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// By which a call that is out can be revoked from outside.
+#[derive(Default)]
+pub struct CallControl {
+    revoked: bool,
+    /// Whether the call has begun to leave, and whether it is not to.
+    left: bool,
+    withheld: bool,
+    texts: Vec<Submit>,
+    /// Those of them that were called back.
+    called_back: Vec<Submit>,
+    stream: Option<Arc<TcpStream>>,
+}
+
+impl CallControl {
+    /// The connection has this call from now on.
+    pub fn takes(&mut self, call: &Call) {
+        self.texts = call.parts.iter().map(|part| (part.text, part.submit)).collect();
+        (self.revoked, self.left, self.withheld) = (false, false, false);
+        self.called_back.clear();
+    }
+
+    /// All texts of a call share one connection: it ends once all of them are called back.
+    pub fn calls_back(&mut self, text: Submit) {
+        if self.texts.contains(&text) && !self.called_back.contains(&text) {
+            self.called_back.push(text);
+        }
+        if !self.texts.is_empty() && self.called_back.len() == self.texts.len() {
+            self.revoked = true;
+            self.stream.iter().for_each(|stream| _ = stream.shutdown(Shutdown::Both));
+        }
+    }
+
+    /// A text's call is not to leave, unless it has.
+    pub fn withholds(&mut self, text: Submit) {
+        self.withheld |= !self.left && self.texts.contains(&text);
+    }
+
+    /// No call is out.
+    pub fn rests(&mut self) {
+        self.texts.clear();
+    }
+}
+
+pub type SharedControl = Arc<Mutex<CallControl>>;
+
+pub fn lock(control: &SharedControl) -> MutexGuard<'_, CallControl> {
+    control.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The thread of one connection.
+pub struct Carrier {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    trunk: Arc<Trunk>,
+    control: SharedControl,
+    link: Option<Link>,
+    /// The connection's own number in this process, and how many calls it has carried.
+    connection: u64,
+    calls: u64,
+}
+
+impl Carrier {
+    pub fn new(
+        endpoint: EndpointId,
+        address: SocketAddr,
+        trunk: &Arc<Trunk>,
+        control: &SharedControl,
+    ) -> Carrier {
+        let (trunk, control) = (Arc::clone(trunk), Arc::clone(control));
+        Carrier { endpoint, address, trunk, control, link: None, connection: 0, calls: 0 }
+    }
+
+    /// Carries one call to its end; whether the connection can carry another. The peer hears that it rests
+    /// before the decider hears the outcome: a call that follows on it would else open a new one. One that does
+    /// not rest is ended before the outcome is told, so that nothing can meet an open first copy.
+    pub fn carry(&mut self, call: &mut Call, rests: impl FnOnce()) -> bool {
+        let sent = self.send(call);
+        let many = call.parts.len() > 1;
+        let (head, body) = match sent.and_then(|()| self.await_head(call, many)) {
+            Ok(answer) => answer,
+            Err(verdict) => {
+                self.drop_link("its call failed");
+                let verdict = if lock(&self.control).revoked { Verdict::Cancelled } else { verdict };
+                call.tell(|_| verdict.into());
+                return false;
+            }
+        };
+        self.log_answer(call, &head, body.as_deref());
+        let keeps = body.is_some() && head.keeps() && self.link.as_ref().is_some_and(Link::is_clean);
+        if keeps {
+            rests();
+        } else {
+            let untaken = self.link.as_ref().map_or(0, Link::untaken);
+            if body.is_some() && untaken > 0 {
+                self.log_unasked("behind an answer", untaken);
+            }
+            self.drop_link("the answer was its last");
+        }
+        match body {
+            // The first line alone tells that a single text was delivered, whatever is wrong with the rest.
+            _ if !many && head.status == 200 => self.tell_all(call, &head, None),
+            Some(_) if head.status != 200 => self.tell_all(call, &head, None),
+            Some(body) => self.tell_all(call, &head, Some(&body)),
+            // Nothing else in it can be believed, not even that it never ran. But a wait was told as its head was written.
+            None => call.tell(|_| Answered { told_wait: answer::told_wait(&head), ..Verdict::Error.into() }),
+        }
+        keeps
+    }
+
+    pub fn drop_link(&mut self, reason: &str) {
+        lock(&self.control).stream = None;
+        if let Some(link) = self.link.take() {
+            log_request!(
+                endpoint = self.endpoint.0, address:% = self.address, connection = self.connection,
+                calls = self.calls, reason;
+                "connection closed"
+            );
+            link.shut();
+        }
+    }
+
+    /// What came back for a call. What its texts are taken for stands in the line of each call's end.
+    fn log_answer(&self, call: &Call, head: &AnswerHead, body: Option<&[u8]>) {
+        log_request!(
+            ids:% = call, endpoint = self.endpoint.0, connection = self.connection, calls = self.calls,
+            status = head.status, bytes = body.map_or(-1, |body| body.len() as i64),
+            after_ms = call.sent.elapsed().as_millis();
+            "answer"
+        );
+    }
+
+    fn log_unasked(&self, when: &str, bytes: usize) {
+        self.trunk.counters.unasked.add(1);
+        log!(
+            endpoint = self.endpoint.0, address:% = self.address, connection = self.connection, calls = self.calls,
+            when, bytes;
+            "bytes that nobody asked for"
+        );
+    }
+
+    /// What this sender has not enough of is no fault of the endpoint's.
+    fn unopened(&self, e: &std::io::Error) -> Verdict {
+        if !link::is_shortage(e) {
+            return Verdict::ConnectFailed;
+        }
+        self.trunk.counters.no_descriptor.add(1);
+        log!("no connection to {} can be had: {e}", self.address);
+        Verdict::Moot
+    }
+
+    /// Sends the call; an error means that its last byte has not left. A text whose time is up before the call can leave
+    /// stays behind: the others of its call don't hang on it.
+    fn send(&mut self, call: &mut Call) -> Result<(), Verdict> {
+        let found = self.link.as_ref().map(|link| link.at_rest(&self.trunk.limits));
+        if found == Some(AtRest::Quiet) {
+            self.trunk.counters.endpoint_reuses.add(1);
+        } else {
+            if found == Some(AtRest::Unasked) {
+                self.log_unasked("at rest", self.link.as_ref().map_or(0, Link::untaken));
+            }
+            self.drop_link(found.unwrap_or(AtRest::Ended).reason());
+            let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
+            let left = latest.saturating_duration_since(Instant::now());
+            log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
+            let opened = Link::open(self.address, left.min(self.trunk.site.get().connect_time));
+            self.link = Some(opened.map_err(|e| self.unopened(&e))?);
+            (self.connection, self.calls) = (self.trunk.counters.endpoint_connections.next(), 0);
+        }
+        let now = Instant::now();
+        let late = call.parts.extract_if(.., |part| now >= part.by.min(part.leave_by)).collect();
+        drop(Call { parts: late, sent: call.sent, left: false, owed: call.owed.clone() });
+        if call.parts.is_empty() {
+            return Err(Verdict::Moot);
+        }
+        let link = self.link.as_mut().expect("opened above");
+        {
+            let mut control = lock(&self.control);
+            control.texts = call.parts.iter().map(|part| (part.text, part.submit)).collect();
+            let CallControl { texts, called_back, .. } = &mut *control;
+            called_back.retain(|back| texts.contains(back));
+            if control.revoked {
+                return Err(Verdict::Cancelled);
+            }
+            if control.withheld {
+                return Err(Verdict::Moot);
+            }
+            control.left = true;
+            control.stream = Some(Arc::clone(link.stream()));
+        }
+        let host = self.address.to_string();
+        if let [part] = &call.parts[..] {
+            let wait = part.by.saturating_duration_since(call.sent).as_millis().to_string();
+            let mut headers = vec![("X-Request-ID", part.id.as_str()), ("X-Timeout-Ms", &wait)];
+            headers.extend(part.mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
+            http::put_request(&mut link.outward, "POST /v1/messages", &host, &headers, &part.body);
+        } else {
+            let latest = call.parts.iter().map(|part| part.by).max().unwrap_or(call.sent);
+            let wait = latest.saturating_duration_since(call.sent).as_millis().to_string();
+            let mut body = Vec::new();
+            for part in &call.parts {
+                let mark = part.mark.as_deref().unwrap_or("-");
+                body.extend(format!("{} {mark} {}\r\n", part.id, part.body.len()).bytes());
+                body.extend_from_slice(&part.body);
+                body.extend(b"\r\n");
+            }
+            let headers = [("X-Timeout-Ms", wait.as_str())];
+            http::put_request(&mut link.outward, "POST /v1/messages:batch", &host, &headers, &body);
+        }
+        let by = call.parts.iter().map(|part| part.by.min(part.leave_by)).min().unwrap_or(call.sent);
+        call.left = true;
+        link.send(by).map_err(|_| Verdict::ConnectFailed)?;
+        self.trunk.figures.sends.add(call.parts.len());
+        self.calls += 1;
+        log_request!(
+            ids:% = call, endpoint = self.endpoint.0, address:% = self.address, connection = self.connection,
+            calls = self.calls;
+            "call left"
+        );
+        Ok(())
+    }
+
+    /// Waits for the answer: its head, and its body unless that is spoilt. The call is out until its connection
+    /// ends, also for texts whose own time is up before: reported earlier, the next text of a key would meet them.
+    fn await_head(&mut self, call: &Call, many: bool) -> Result<(AnswerHead, Option<Vec<u8>>), Verdict> {
+        let link = self.link.as_mut().expect("sent on it");
+        let limits = &*self.trunk.limits;
+        let by = call.parts.iter().map(|part| part.by).max().unwrap_or(call.sent);
+        let head = match link.head(limits, by) {
+            Ok(head) => head,
+            Err(_) if lock(&self.control).revoked => return Err(Verdict::Cancelled),
+            Err(_) if !many && link.says_done() => return Ok((AnswerHead::bare(200), None)),
+            Err(Fault::Late) => return Err(Verdict::TimeOut),
+            Err(Fault::Broken) => return Err(Verdict::Reset),
+            Err(fault) => {
+                log!("{} answered what can't be read: {fault:?}", self.address);
+                return Err(Verdict::Error);
+            }
+        };
+        let tells_wait = head.status != 200 && answer::told_wait(&head).is_some();
+        let rest = if tells_wait { limits.wait_rest } else { limits.answer_rest };
+        let body = link.body(&head, limits.body, Instant::now() + rest);
+        if let Err(fault) = &body {
+            log!("half an answer from {}: {fault:?}", self.address);
+        }
+        Ok((head, body.ok()))
+    }
+
+    fn tell_all(&self, call: &mut Call, head: &AnswerHead, body: Option<&[u8]>) {
+        let ends = body.map(|body| {
+            let lines = String::from_utf8_lossy(body).into_owned();
+            let pairs = lines.lines().filter_map(|line| line.trim().split_once(' '));
+            pairs.map(|(id, end)| (id.to_owned(), end.trim().to_owned())).collect::<BTreeMap<_, _>>()
+        });
+        let many = call.parts.len() > 1;
+        call.tell(|part| {
+            let answered = match &ends {
+                // A call of several that can't be read, or is too large, ran for none of them.
+                None if many && matches!(head.status, 400 | 413) => Verdict::Moot.into(),
+                None => answer::read_status(head),
+                Some(ends) => answer::read_end(ends.get(&part.id).map(String::as_str), head),
+            };
+            if answered.verdict == Verdict::Error && !matches!(head.status, 200 | 500) {
+                log!("{} answered a call with {}", self.address, head.status);
+            }
+            answered
+        });
+    }
+}
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -1,5 +1,6 @@
 //! The actor that owns the decisions: it hears everything, writes it to the log, asks once and carries out.
 
+use crate::call::{Call, Part};
 use crate::clock::{Clock, duration, span};
 use crate::config::{InForce, Site};
 use crate::control::{Order, Refusal};
@@ -13,7 +14,7 @@
 use crate::list::{self, Listed, Listing};
 use crate::list_file::ListKeeper;
 use crate::notices::Notice;
-use crate::peer::{self, Call, Part, Peer, Trunk};
+use crate::peer::{self, Peer, Trunk};
 use crate::places::Places;
 use crate::terms::{self, Table};
 use crate::wal::{self, Kept, Report, TextInfo, Wal};
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -6,7 +6,10 @@
 //! decisions by an intake or a peer of its own.
 
 pub mod accept_queue;
+pub mod answer;
 pub mod boot_clock;
+pub mod call;
+pub mod carrier;
 pub mod clock;
 pub mod config;
 pub mod control;
