Peer: an answer is believed only where it can be no other call's

Cause: answers were given to calls by their order on a connection and by nothing else (carrier.rs await_head). The guard, a look 3 ms after an answer, sees no copy that comes once the next call is out, and from then on the connection is one answer behind. Why this works: a connection carries one call, so there is nothing that an answer could be a copy of.

--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -318,7 +318,14 @@
                 let sla = self.settings.products[text.handed.product.0].sla_time;
                 let time_out = if self.style == Name::OneTry { left } else { sla.min(left) };
                 let leave_by = text.handed.valid_until;
-                self.actions.push(Action::Submit { text: entry.1, endpoint, time_out, leave_by });
+                let shares_connection = false;
+                self.actions.push(Action::Submit {
+                    text: entry.1,
+                    endpoint,
+                    time_out,
+                    leave_by,
+                    shares_connection,
+                });
             }
         }
     }
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -664,6 +664,7 @@
                 submit,
                 endpoint: out.endpoint,
                 verdict,
+                in_doubt: false,
                 told_wait,
                 latency: now.since(out.sent),
                 ended: false,
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -226,6 +226,7 @@
         submit: submit.submit,
         endpoint: submit.endpoint,
         verdict,
+        in_doubt: false,
         told_wait: None,
         latency,
         ended: false,
--- a/crates/sender/src/answer.rs
+++ b/crates/sender/src/answer.rs
@@ -3,10 +3,13 @@
 use crate::http::AnswerHead;
 use indigomast::api::{Allowance, Verdict};
 use indigomast::time::Span;
+use std::collections::BTreeMap;
 
 /// What an answer says of a text.
 pub struct Answered {
     pub verdict: Verdict,
+    /// The answer may have been another call's.
+    pub in_doubt: bool,
     pub told_wait: Option<Span>,
     pub ended: bool,
     pub allowance: Option<Allowance>,
@@ -14,7 +17,7 @@
 
 impl From<Verdict> for Answered {
     fn from(verdict: Verdict) -> Answered {
-        Answered { verdict, told_wait: None, ended: false, allowance: None }
+        Answered { verdict, in_doubt: false, told_wait: None, ended: false, allowance: None }
     }
 }
 
@@ -41,6 +44,16 @@
     (!found.calls_per_sec.is_nan()).then_some(found)
 }
 
+/// How each text ended, by its id, as an answer says that names them.
+pub type Ends = BTreeMap<String, String>;
+
+/// The ends that the body of an answer names; lines that name none are passed over.
+pub fn read_ends(body: &[u8]) -> Ends {
+    let lines = String::from_utf8_lossy(body);
+    let pairs = lines.lines().filter_map(|line| line.trim().split_once(' '));
+    pairs.map(|(id, end)| (id.to_owned(), end.trim().to_owned())).collect()
+}
+
 pub fn read_status(head: &AnswerHead) -> Answered {
     let (verdict, ended) = match head.status {
         200 => (Verdict::Delivered, true),
@@ -52,7 +65,16 @@
         _ => (Verdict::Error, false),
     };
     let told_wait = told_wait(head).filter(|_| verdict == Verdict::Full);
-    Answered { verdict, told_wait, ended, allowance: allowance(head) }
+    Answered { verdict, in_doubt: false, told_wait, ended, allowance: allowance(head) }
+}
+
+/// What is left of an answer that may have been written to another call: it may have run, however it was turned away, but
+/// the endpoint has no room, and a wait that was told is heeded.
+pub fn in_doubt(answered: Answered) -> Answered {
+    match answered.verdict {
+        Verdict::Full => Answered { in_doubt: true, ..answered },
+        _ => Verdict::Error.into(),
+    }
 }
 
 pub fn read_end(end: Option<&str>, head: &AnswerHead) -> Answered {
@@ -63,7 +85,7 @@
         Some("used_up") => (Verdict::Moot, false),
         _ => (Verdict::Error, false),
     };
-    Answered { verdict, told_wait: told_wait(head), ended, allowance: allowance(head) }
+    Answered { verdict, in_doubt: false, told_wait: told_wait(head), ended, allowance: allowance(head) }
 }
 
 #[cfg(test)]
--- a/crates/sender/src/call.rs
+++ b/crates/sender/src/call.rs
@@ -27,6 +27,8 @@
     /// Those without an outcome so far.
     pub parts: Vec<Part>,
     pub sent: Instant,
+    /// It may go on a connection that carries other calls. Its answer then has to name its texts.
+    pub shares_connection: bool,
     /// From the first byte on an endpoint may run it.
     pub(crate) left: bool,
     /// Who hears of the outcomes; nobody while the decider itself has the call.
@@ -34,8 +36,30 @@
 }
 
 impl Call {
-    pub fn new(part: Part, sent: Instant) -> Call {
-        Call { parts: vec![part], sent, left: false, owed: None }
+    pub fn new(part: Part, sent: Instant, shares_connection: bool) -> Call {
+        Call { parts: vec![part], sent, shares_connection, left: false, owed: None }
+    }
+
+    /// A call of its own for some of its texts, as yet unsent.
+    pub(crate) fn split_off(&self, parts: Vec<Part>) -> Call {
+        let Call { sent, shares_connection, .. } = *self;
+        Call { parts, sent, shares_connection, left: false, owed: self.owed.clone() }
+    }
+
+    /// Another text travels in it; a connection is shared only if that holds for all of them.
+    pub fn joins(&mut self, part: Part, shares_connection: bool) {
+        self.parts.push(part);
+        self.shares_connection &= shares_connection;
+    }
+
+    /// Whether it is written, and answered, in the form that names each text.
+    pub fn names_texts(&self) -> bool {
+        self.shares_connection || self.parts.len() > 1
+    }
+
+    /// The ids of its texts.
+    pub fn ids(&self) -> impl Iterator<Item = &str> + Clone {
+        self.parts.iter().map(|part| part.id.as_str())
     }
 
     /// From now on its outcomes are told as those of this endpoint.
@@ -71,8 +95,8 @@
 impl fmt::Display for Call {
     /// The ids of its texts.
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        for (at, part) in self.parts.iter().enumerate() {
-            write!(f, "{}{}", if at > 0 { "," } else { "" }, part.id)?;
+        for (at, id) in self.ids().enumerate() {
+            write!(f, "{}{id}", if at > 0 { "," } else { "" })?;
         }
         Ok(())
     }
--- a/crates/sender/src/carrier.rs
+++ b/crates/sender/src/carrier.rs
@@ -1,13 +1,13 @@
 //! The thread of one connection to an endpoint: it sends a call, waits for the answer, and reports what became of it.
 
-use crate::answer::{self, Answered};
+use crate::answer::{self, Answered, Ends};
 use crate::call::{Call, Submit};
 use crate::http::{self, AnswerHead};
 use crate::link::{self, AtRest, Fault, Link};
 use crate::peer::Trunk;
 use crate::{log, log_account, log_request};
 use indigomast::api::{EndpointId, Verdict};
-use std::collections::BTreeMap;
+use indigomast::connection_sharing::{ConnectionUse, Proof};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -68,9 +68,10 @@
     trunk: Arc<Trunk>,
     control: SharedControl,
     link: Option<Link>,
-    /// The connection's own number in this process, and how many calls it has carried.
+    /// The connection's own number in this process, how many calls it has carried, and which.
     connection: u64,
     calls: u64,
+    connection_use: ConnectionUse,
 }
 
 impl Carrier {
@@ -81,7 +82,8 @@
         control: &SharedControl,
     ) -> Carrier {
         let (trunk, control) = (Arc::clone(trunk), Arc::clone(control));
-        Carrier { endpoint, address, trunk, control, link: None, connection: 0, calls: 0 }
+        let (link, connection_use) = (None, ConnectionUse::default());
+        Carrier { endpoint, address, trunk, control, link, connection: 0, calls: 0, connection_use }
     }
 
     /// Carries one call to its end; whether the connection can carry another. The peer hears that it rests
@@ -89,8 +91,7 @@
     /// not rest is ended before the outcome is told, so that nothing can meet an open first copy.
     pub fn carry(&mut self, call: &mut Call, rests: impl FnOnce()) -> bool {
         let sent = self.send(call);
-        let many = call.parts.len() > 1;
-        let (head, body) = match sent.and_then(|()| self.await_head(call, many)) {
+        let answer = match sent.and_then(|()| self.await_own_answer(call)) {
             Ok(answer) => answer,
             Err(verdict) => {
                 self.drop_link("its call failed");
@@ -99,28 +100,26 @@
                 return false;
             }
         };
-        self.log_answer(call, &head, body.as_deref());
-        let keeps = body.is_some() && head.keeps() && self.link.as_ref().is_some_and(Link::is_clean);
+        let keeps = self.can_rest_behind(call, &answer);
         if keeps {
             rests();
         } else {
             let untaken = self.link.as_ref().map_or(0, Link::untaken);
-            if body.is_some() && untaken > 0 {
+            if answer.body.is_some() && untaken > 0 {
                 self.log_unasked("behind an answer", untaken);
             }
             self.drop_link("the answer was its last");
         }
-        match body {
-            // The first line alone tells that a single text was delivered, whatever is wrong with the rest.
-            _ if !many && head.status == 200 => self.tell_all(call, &head, None),
-            Some(_) if head.status != 200 => self.tell_all(call, &head, None),
-            Some(body) => self.tell_all(call, &head, Some(&body)),
-            // Nothing else in it can be believed, not even that it never ran. But a wait was told as its head was written.
-            None => call.tell(|_| Answered { told_wait: answer::told_wait(&head), ..Verdict::Error.into() }),
-        }
+        self.tell_all(call, &answer);
         keeps
     }
 
+    /// Whatever is still written behind an answer that names its texts can be told from the answer to the next call.
+    fn can_rest_behind(&self, call: &Call, answer: &Answer) -> bool {
+        let clean = self.link.as_ref().is_some_and(Link::is_clean);
+        call.shares_connection && answer.proof == Proof::Named && answer.head.keeps() && clean
+    }
+
     pub fn drop_link(&mut self, reason: &str) {
         lock(&self.control).stream = None;
         if let Some(link) = self.link.take() {
@@ -166,23 +165,28 @@
     /// stays behind: the others of its call don't hang on it.
     fn send(&mut self, call: &mut Call) -> Result<(), Verdict> {
         let found = self.link.as_ref().map(|link| link.at_rest(&self.trunk.limits));
-        if found == Some(AtRest::Quiet) {
+        if found == Some(AtRest::Quiet) && self.connection_use.may_carry(call.ids()) {
             self.trunk.counters.endpoint_reuses.add(1);
         } else {
             if found == Some(AtRest::Unasked) {
                 self.log_unasked("at rest", self.link.as_ref().map_or(0, Link::untaken));
             }
-            self.drop_link(found.unwrap_or(AtRest::Ended).reason());
+            let reason = match found {
+                Some(AtRest::Quiet) | None => "it can't carry these messages",
+                Some(found) => found.reason(),
+            };
+            self.drop_link(reason);
             let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
             let left = latest.saturating_duration_since(Instant::now());
             log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
             let opened = Link::open(self.address, left.min(self.trunk.site.get().connect_time));
             self.link = Some(opened.map_err(|e| self.unopened(&e))?);
             (self.connection, self.calls) = (self.trunk.counters.endpoint_connections.next(), 0);
+            self.connection_use = ConnectionUse::default();
         }
         let now = Instant::now();
         let late = call.parts.extract_if(.., |part| now >= part.by.min(part.leave_by)).collect();
-        drop(Call { parts: late, sent: call.sent, left: false, owed: call.owed.clone() });
+        drop(call.split_off(late));
         if call.parts.is_empty() {
             return Err(Verdict::Moot);
         }
@@ -202,7 +206,9 @@
             control.stream = Some(Arc::clone(link.stream()));
         }
         let host = self.address.to_string();
-        if let [part] = &call.parts[..] {
+        if let [part] = &call.parts[..]
+            && !call.names_texts()
+        {
             let wait = part.by.saturating_duration_since(call.sent).as_millis().to_string();
             let mut headers = vec![("X-Request-ID", part.id.as_str()), ("X-Timeout-Ms", &wait)];
             headers.extend(part.mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
@@ -222,6 +228,7 @@
         }
         let by = call.parts.iter().map(|part| part.by.min(part.leave_by)).min().unwrap_or(call.sent);
         call.left = true;
+        self.connection_use.begins(call.ids());
         link.send(by).map_err(|_| Verdict::ConnectFailed)?;
         self.trunk.figures.sends.add(call.parts.len());
         self.calls += 1;
@@ -233,16 +240,34 @@
         Ok(())
     }
 
-    /// Waits for the answer: its head, and its body unless that is spoilt. The call is out until its connection
+    /// Waits for the answer to this call, and passes over those to earlier ones on its connection.
+    fn await_own_answer(&mut self, call: &Call) -> Result<Answer, Verdict> {
+        for _ in 0..=self.trunk.limits.interim {
+            let (head, body) = self.await_answer(call)?;
+            self.log_answer(call, &head, body.as_deref());
+            let named = call.names_texts() && head.status == 200;
+            let ends = body.as_deref().filter(|_| named).map(answer::read_ends);
+            let names = ends.iter().flat_map(Ends::keys).map(String::as_str);
+            let proof = self.connection_use.proof(names);
+            if proof != Proof::Stray {
+                return Ok(Answer { head, body, ends, proof });
+            }
+            self.log_unasked("before the answer", body.map_or(0, |body| body.len()));
+        }
+        log!("{} repeats earlier answers and gives no other", self.address);
+        Err(Verdict::Error)
+    }
+
+    /// Waits for an answer: its head, and its body unless that is spoilt. The call is out until its connection
     /// ends, also for texts whose own time is up before: reported earlier, the next text of a key would meet them.
-    fn await_head(&mut self, call: &Call, many: bool) -> Result<(AnswerHead, Option<Vec<u8>>), Verdict> {
+    fn await_answer(&mut self, call: &Call) -> Result<(AnswerHead, Option<Vec<u8>>), Verdict> {
         let link = self.link.as_mut().expect("sent on it");
         let limits = &*self.trunk.limits;
         let by = call.parts.iter().map(|part| part.by).max().unwrap_or(call.sent);
         let head = match link.head(limits, by) {
             Ok(head) => head,
             Err(_) if lock(&self.control).revoked => return Err(Verdict::Cancelled),
-            Err(_) if !many && link.says_done() => return Ok((AnswerHead::bare(200), None)),
+            Err(_) if !call.names_texts() && link.says_done() => return Ok((AnswerHead::bare(200), None)),
             Err(Fault::Late) => return Err(Verdict::TimeOut),
             Err(Fault::Broken) => return Err(Verdict::Reset),
             Err(fault) => {
@@ -259,24 +284,47 @@
         Ok((head, body.ok()))
     }
 
-    fn tell_all(&self, call: &mut Call, head: &AnswerHead, body: Option<&[u8]>) {
-        let ends = body.map(|body| {
-            let lines = String::from_utf8_lossy(body).into_owned();
-            let pairs = lines.lines().filter_map(|line| line.trim().split_once(' '));
-            pairs.map(|(id, end)| (id.to_owned(), end.trim().to_owned())).collect::<BTreeMap<_, _>>()
-        });
-        let many = call.parts.len() > 1;
+    fn tell_all(&self, call: &mut Call, answer: &Answer) {
+        let names_texts = call.names_texts();
         call.tell(|part| {
-            let answered = match &ends {
-                // A call of several that can't be read, or is too large, ran for none of them.
-                None if many && matches!(head.status, 400 | 413) => Verdict::Moot.into(),
-                None => answer::read_status(head),
-                Some(ends) => answer::read_end(ends.get(&part.id).map(String::as_str), head),
-            };
-            if answered.verdict == Verdict::Error && !matches!(head.status, 200 | 500) {
-                log!("{} answered a call with {}", self.address, head.status);
+            let answered = answer.says_of(&part.id, names_texts);
+            if answered.verdict == Verdict::Error && !matches!(answer.head.status, 200 | 500) {
+                log!("{} answered a call with {}", self.address, answer.head.status);
             }
             answered
         });
     }
 }
+
+/// What came back for a call.
+struct Answer {
+    head: AnswerHead,
+    /// None where it was not whole.
+    body: Option<Vec<u8>>,
+    /// How each text ended, where the answer says so.
+    ends: Option<Ends>,
+    proof: Proof,
+}
+
+impl Answer {
+    fn says_of(&self, id: &str, names_texts: bool) -> Answered {
+        let answered = self.reads_of(id, names_texts);
+        if self.proof.holds() { answered } else { answer::in_doubt(answered) }
+    }
+
+    fn reads_of(&self, id: &str, names_texts: bool) -> Answered {
+        let head = &self.head;
+        match &self.ends {
+            Some(ends) => answer::read_end(ends.get(id).map(String::as_str), head),
+            // The first line alone tells that a single text was delivered, whatever is wrong with the rest.
+            None if !names_texts && head.status == 200 => answer::read_status(head),
+            // Nothing else in it can be believed, not even that it never ran. But a wait was told as its head was written.
+            None if self.body.is_none() => {
+                Answered { told_wait: answer::told_wait(head), ..Verdict::Error.into() }
+            }
+            // A call of several that can't be read, or is too large, ran for none of them.
+            None if names_texts && matches!(head.status, 400 | 413) => Verdict::Moot.into(),
+            None => answer::read_status(head),
+        }
+    }
+}
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -474,7 +474,7 @@
                     "outcome"
                 );
                 self.log_outcome(&outcome);
-                if outcome.verdict.never_ran() {
+                if outcome.never_ran() {
                     self.wal.never_ran(outcome.text.0, outcome.submit);
                 }
                 if outcome.ended || outcome.verdict == Verdict::Delivered {
@@ -871,7 +871,7 @@
         let mut asks: Vec<(EndpointId, peer::Ask)> = Vec::new();
         for action in self.rules.step(now, events) {
             match action {
-                Action::Submit { text, endpoint, time_out, leave_by } => {
+                Action::Submit { text, endpoint, time_out, leave_by, shares_connection } => {
                     let Some(part) = self.submit(text, endpoint, at, now, (time_out, leave_by)) else {
                         log!("a submit for a text that is not at hand is dropped");
                         continue;
@@ -880,8 +880,8 @@
                     let most = self.texts_per_call.get(kind).copied().unwrap_or(1);
                     let open = calls.iter_mut().rev().find(|(to, _)| *to == endpoint);
                     match open.filter(|(_, call)| call.parts.len() < most) {
-                        Some((_, call)) => call.parts.push(part),
-                        None => calls.push((endpoint, Call::new(part, at))),
+                        Some((_, call)) => call.joins(part, shares_connection),
+                        None => calls.push((endpoint, Call::new(part, at, shares_connection))),
                     }
                 }
                 Action::Nack { text, come_back_after } => {
@@ -961,7 +961,7 @@
         let Some(owed) = self.wal.owed().get(&outcome.text.0) else { return };
         let (id, submit, ms) = (&owed.info.id, outcome.submit, outcome.latency.as_millis());
         let endpoint = self.places.get(outcome.endpoint).map(|place| place.name.as_str());
-        log_request!(id, submit, endpoint:?, reason:? = outcome.verdict, ms; "call ended");
+        log_request!(id, submit, endpoint:?, reason:? = outcome.verdict, in_doubt = outcome.in_doubt, ms; "call ended");
     }
 
     fn give_up(&mut self, text: TextId, report: Report) {
@@ -1083,6 +1083,7 @@
                 submit: part.submit,
                 endpoint,
                 verdict: Verdict::Moot,
+                in_doubt: false,
                 told_wait: None,
                 latency: Span::ZERO,
                 ended: false,
--- a/crates/sender/src/link.rs
+++ b/crates/sender/src/link.rs
@@ -42,7 +42,7 @@
     /// Why it carries no other call.
     pub fn reason(self) -> &'static str {
         match self {
-            AtRest::Quiet => "it rests",
+            AtRest::Quiet => "it is not used any more",
             AtRest::Ended => "it was found ended",
             AtRest::Unasked => "bytes came that nobody asked for",
         }
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -105,7 +105,8 @@
                     let (now, rest) = (Instant::now(), self.trunk.rest());
                     self.keep(&mut lines, |_, since| now < since + rest);
                     // The one used last is the least likely to have been closed at the other end.
-                    let resting = lines.iter().filter(|(_, line)| line.rests_since.is_some());
+                    let shares = call.shares_connection;
+                    let resting = lines.iter().filter(|(_, line)| shares && line.rests_since.is_some());
                     let last = resting.max_by_key(|(_, line)| line.rests_since).map(|(number, _)| *number);
                     let number = last.unwrap_or(next);
                     if last.is_none() {
@@ -244,6 +245,7 @@
             submit,
             endpoint,
             verdict: answered.verdict,
+            in_doubt: answered.in_doubt,
             told_wait: answered.told_wait,
             latency: span(sent.elapsed()),
             ended: answered.ended,
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -75,6 +75,12 @@
         self.answer(format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n"));
     }
 
+    /// Answers that each message of the call is delivered.
+    pub fn delivers(self) {
+        let answer = self.all_done();
+        self.answer(answer);
+    }
+
     /// Breaks the connection without an answer.
     pub fn hang_up(self) {
         self.reply.send(Reply::HangUp).expect("the connection waits for its answer");
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -169,6 +169,7 @@
                     submit: answer.hop,
                     endpoint: EndpointId(self.endpoints.find(&answer.endpoint, "endpoint")?),
                     verdict,
+                    in_doubt: false,
                     told_wait: told.then(|| Span::from_millis(answer.note)),
                     latency: Span::from_millis(answer.latency_ms),
                     ended: answer.no_more,
--- a/src/api.rs
+++ b/src/api.rs
@@ -163,6 +163,8 @@
     pub submit: usize,
     pub endpoint: EndpointId,
     pub verdict: Verdict,
+    /// The answer may have been another submit's: whatever the verdict, this one may have run.
+    pub in_doubt: bool,
     pub told_wait: Option<Span>,
     pub latency: Span,
     /// The text needs no further answer.
@@ -170,6 +172,13 @@
     pub allowance: Option<Allowance>,
 }
 
+impl Outcome {
+    /// Whether the submit is known not to have run at the receiver.
+    pub fn never_ran(&self) -> bool {
+        self.verdict.never_ran() && !self.in_doubt
+    }
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     Listed {
@@ -228,6 +237,8 @@
         endpoint: EndpointId,
         time_out: Span,
         leave_by: Moment,
+        /// Its call may share a connection with others, and is answered by naming its texts.
+        shares_connection: bool,
     },
     Nack {
         text: TextId,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,7 @@
 
 use crate::api::*;
 use crate::chance::Chance;
+use crate::connection_sharing;
 use crate::time::{Moment, Span};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -639,6 +640,15 @@
         }
     }
 
+    /// Whether these texts of one call may travel on a connection that carries other calls.
+    fn may_share_connection(&self, kind: KindId, texts: &[TextId]) -> bool {
+        let bears = |id: &TextId| {
+            let text = &self.texts[id];
+            !text.alone && connection_sharing::bears_doubt(self.repeat(text), LONGEST_PAUSE)
+        };
+        self.settings.kinds[kind.0].texts_per_call > 1 && texts.iter().all(bears)
+    }
+
     fn may_go_again(&self, text: &Text) -> bool {
         let once_only = self.repeat(text) == Repeat::OnceOnly;
         text.submits < self.settings.products[text.product.0].max_submits
@@ -742,7 +752,7 @@
         call.judged |= left;
         call.texts_out -= 1;
         let done = call.texts_out == 0;
-        if !outcome.verdict.never_ran() && outcome.verdict != Verdict::Delivered {
+        if !outcome.never_ran() && outcome.verdict != Verdict::Delivered {
             text.doubt.get_or_insert((sent, self.endpoints[&endpoint].zone));
             if let Some(key) = text.key.and_then(|key| self.keys.get_mut(&key)) {
                 key.rest_until = Some(self.now + self.settings.rest_after_doubt);
@@ -1137,6 +1147,7 @@
         // A receiver knows a call by its first text and by the one time told for all: these have to agree, or
         // an answer that comes between the two ends texts here that are not over there.
         chosen.sort_by_key(|id| Reverse(self.texts[id].valid_until));
+        let shares_connection = self.may_share_connection(kind, &chosen);
         let (call, mut cut_short) = (self.next_call, false);
         self.next_call += 1;
         for &id in &chosen {
@@ -1152,7 +1163,7 @@
             let time_out = time_out.min(left);
             text.submits += 1;
             text.out = Some(call);
-            self.actions.push(Action::Submit { text: id, endpoint, time_out, leave_by });
+            self.actions.push(Action::Submit { text: id, endpoint, time_out, leave_by, shares_connection });
         }
         let parts = self.holds[&dest].endpoints.len() as f64;
         let own_gap = self.cold_gap(lane_id, warm_from(&self.endpoints[&endpoint].health)) * parts;
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -259,6 +259,7 @@
             submit,
             endpoint,
             verdict,
+            in_doubt: false,
             told_wait: None,
             latency,
             ended: false,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -63,6 +63,8 @@
     /// What share of the limit is left by each answer.
     left: f64,
     latency: i64,
+    /// Whether answers may have been another call's.
+    in_doubt: bool,
     closed: usize,
 }
 
@@ -87,6 +89,7 @@
             told: None,
             left: 0.5,
             latency: 100,
+            in_doubt: false,
             closed: 0,
         };
         let list = |n, dest| entry(n, dest, kind, Condition::Running);
@@ -143,6 +146,7 @@
             submit: self.submits[&text] - 1,
             endpoint,
             verdict,
+            in_doubt: self.in_doubt,
             told_wait: wait.map(Span::millis),
             latency: Span::millis(self.latency),
             ended: verdict == Verdict::Delivered,
@@ -246,6 +250,50 @@
     }
 }
 
+/// Guards against a text that goes again where it must not, as a refusal that may have been another call's passes for proof that
+/// it never ran.
+#[test]
+fn a_refusal_in_doubt_is_no_proof_that_a_text_never_ran() {
+    for (product, verdict, again) in [
+        (0, Verdict::Full, true),
+        (1, Verdict::Full, true),
+        (2, Verdict::Full, false),
+        (2, Verdict::ConnectFailed, false),
+    ] {
+        let mut bench = Bench::new(settings(), 0);
+        bench.in_doubt = true;
+        let (text, endpoint) = submits(&bench.take(1, product, 0))[0];
+        bench.now += 100.0;
+        let mut done = bench.answer(text, endpoint, verdict, None);
+        done.extend(bench.pass(1_000.0).into_iter().map(|(_, action)| action));
+        assert_eq!(!submits(&done).is_empty(), again, "product {product}: {done:?}");
+        let undeliverable = |action: &Action| matches!(action, Action::Undeliverable { .. });
+        assert_eq!(done.iter().any(undeliverable), !again, "product {product}: {done:?}");
+    }
+}
+
+/// A connection is shared where answers name their texts, by texts that a refusal may leave in doubt.
+#[test]
+fn only_texts_that_bear_doubt_share_a_connection() {
+    let brief = Repeat::Referenced { memory: Span::millis(1_000), one_zone: false };
+    for (kind, product, repeat, shares) in [
+        (1, 0, RESENDABLE, true),
+        (1, 1, REFERENCED, true),
+        (1, 1, brief, false),
+        (1, 2, Repeat::OnceOnly, false),
+        (1, 3, ZONED, false),
+        (0, 0, RESENDABLE, false),
+        (0, 1, REFERENCED, false),
+    ] {
+        let mut settings = settings();
+        settings.products[product].repeat = repeat;
+        let mut bench = Bench::new(settings, kind);
+        let done = bench.take(1, product, 0);
+        let [Action::Submit { shares_connection, .. }] = done[..] else { panic!("{done:?}") };
+        assert_eq!(shares_connection, shares, "kind {kind}, {repeat:?}");
+    }
+}
+
 #[test]
 fn a_referenced_text_is_sent_again_only_while_it_is_remembered() {
     let mut bench = Bench::new(at_most(50), 0);
