Notices: each on a connection of its own

Callers saw: an end that nobody heard of and that was not told again, so a message lost, where the answer to an earlier notice came twice (second_answers::a_second_copy_of_an_answer_ends_no_notice, red on, green now). Cause: notices.rs Post kept its connection, and 204 names nothing; the look before the next request sees no copy that comes behind it.

--- a/crates/sender/src/notices.rs
+++ b/crates/sender/src/notices.rs
@@ -98,42 +98,32 @@
     }
 }
 
-/// Requests with a body to one address, over one connection as long as it lasts.
+/// Requests with a body, each on a connection of its own: their answers name nothing, and one too many, as a second copy, would
+/// be taken for the answer to the next request.
 pub struct Post {
     limits: Arc<Limits>,
-    link: Option<(SocketAddr, Link)>,
 }
 
 impl Post {
     pub fn new(limits: Arc<Limits>) -> Post {
-        Post { limits, link: None }
+        Post { limits }
     }
 
     /// The status of the answer.
-    pub fn post(&mut self, address: SocketAddr, path: &str, body: &str) -> Result<u16, String> {
-        let status = self.ask(address, path, body);
-        if status.is_err() {
-            self.link = None;
-        }
-        status
-    }
-
-    fn ask(&mut self, address: SocketAddr, path: &str, body: &str) -> Result<u16, String> {
+    ///
+    /// # Errors
+    ///
+    /// No connection came up, or no head of an answer came in time; the request may have been heard.
+    pub fn post(&self, address: SocketAddr, path: &str, body: &str) -> Result<u16, String> {
         let limits = &*self.limits;
-        if !self.link.as_ref().is_some_and(|(at, link)| *at == address && link.sound(limits)) {
-            let opened = Link::open(address, limits.report_time).map_err(|e| e.to_string())?;
-            self.link = Some((address, opened));
-        }
-        let (_, open) = self.link.as_mut().expect("opened above");
+        let mut link = Link::open(address, limits.report_time).map_err(|e| e.to_string())?;
         let line = format!("POST {path}");
-        http::put_request(&mut open.outward, &line, &address.to_string(), &[], body.as_bytes());
+        http::put_request(&mut link.outward, &line, &address.to_string(), &[], body.as_bytes());
         let by = Instant::now() + limits.report_time;
-        open.send(by).map_err(|e| format!("not sent: {e:?}"))?;
-        let head = open.head(limits, by).map_err(|e| format!("{e:?}"))?;
-        let drained = open.body(&head, limits.body, by);
-        if drained.is_err() || !head.keeps() {
-            self.link = None;
-        }
+        link.send(by).map_err(|e| format!("not sent: {e:?}"))?;
+        let head = link.head(limits, by).map_err(|e| format!("{e:?}"))?;
+        // Read, for a close over unread bytes is a reset: the other end may take that for a failure of its own.
+        _ = link.body(&head, limits.body, by);
         Ok(head.status)
     }
 }
