List: each question on a connection of its own

Callers saw: an endpoint called up to 9.8 s after it began to drain, as second copies of an earlier answer of discovery came for each question and confirmed the list (second_answers::a_second_copy_of_a_list_confirms_no_list, red on, green now). Cause: list.rs kept the connection of a watch for its next question, and answers don't name theirs; one that was asked for changes may say that there are none. Ruled out as a lesser mend: heeding revisions alone, as a copy at the end of a hold looks like the answer that nothing has changed. Measured: 75 tests of lists, discovery and sockets pass.

--- a/crates/sender/src/list.rs
+++ b/crates/sender/src/list.rs
@@ -314,7 +314,7 @@
     /// One question outside of the watch.
     fn read_once(&self) {
         let asked = Instant::now();
-        match self.ask(&mut None, 0, None) {
+        match self.ask(0, None) {
             Ok((address, listing)) => {
                 self.tell(&mut self.running(), address, listing);
                 self.leases(|lease, _| lease.confirmed(self.clock.moment(asked)));
@@ -375,13 +375,12 @@
 
     fn keep_watch(&self, number: u64) {
         // What an agent has counts from the first moment on, so it is asked for that at once.
-        let (mut link, mut probes) = (None, !self.site.get().info.decode().must_subscribe);
+        let mut probes = !self.site.get().info.decode().must_subscribe;
         loop {
             // Nothing is held while a turn is waited for, not even a connection.
             let schedule = self.schedule().clone();
             let (wait, watches) = (schedule.wait(Instant::now()), schedule.watches());
             if !wait.is_zero() {
-                link = None;
                 if !self.running().rests(number) {
                     return;
                 }
@@ -394,12 +393,12 @@
             self.schedule().asks(since);
             // After a failure it is time to hear something, be it that nothing has changed.
             let hold = if probes { self.limits.watch_probe } else { self.limits.watch_hold };
-            let asked = self.ask(&mut link, number, watches.then_some(hold));
+            let asked = self.ask(number, watches.then_some(hold));
             probes = asked.is_err();
             // A watch that was ended or replaced has nothing more to say. It is not replaced while it speaks:
             // its revision would pass for one of the next watch's discovery.
             let mut running = self.running();
-            if running.number != number {
+            if !running.rests(number) {
                 drop(running);
                 // But that an endpoint drains was written to this sender, and no discovery says otherwise.
                 let members = asked.map_or_else(|_| Vec::new(), |(_, listing)| listing.members);
@@ -421,7 +420,6 @@
                     drop(running);
                     self.log_failure(reply, &e, since);
                     self.leases(|lease, now| lease.failed(now, failure(reply)));
-                    link = None;
                     // It is asked again unbidden, and the list in force stays.
                     self.teller.missed();
                     if watches {
@@ -455,22 +453,18 @@
 
     /// One question: for changes with a hold, else, or where nothing known goes on, for the whole list. Where there is none
     /// the schedule is told why.
-    fn ask(
-        &self,
-        link: &mut Option<(SocketAddr, Link)>,
-        watch: u64,
-        hold: Option<Duration>,
-    ) -> Result<(SocketAddr, Listing), (Reply, Complaint)> {
+    fn ask(&self, watch: u64, hold: Option<Duration>) -> Result<(SocketAddr, Listing), (Reply, Complaint)> {
         let from = Instant::now();
-        let listing = self.question(link, watch, hold);
+        let listing = self.question(watch, hold);
         let told = listing.as_ref().map_or(-1, |(_, listing)| listing.members.len() as i64);
         log_account!(ms = from.elapsed().as_millis(), told; "asked");
         listing
     }
 
+    /// On a connection of its own: an answer doesn't name its question, and a second copy of an earlier one would confirm a list
+    /// that may have changed since.
     fn question(
         &self,
-        link: &mut Option<(SocketAddr, Link)>,
         watch: u64,
         hold: Option<Duration>,
     ) -> Result<(SocketAddr, Listing), (Reply, Complaint)> {
@@ -482,27 +476,21 @@
         // A call that is given up goes on costing discovery until it has had its turn there.
         let patience =
             hold.map_or(limits.list_time, |(hold, _)| limits.list_time.max(hold + limits.watch_slack));
-        let mut by = Instant::now() + patience;
-        if !link.as_ref().is_some_and(|(at, link)| *at == address && link.sound(limits)) {
-            let opened = connect(address, limits).map_err(|e| match e.kind() {
-                ErrorKind::TimedOut => (Reply::Silent, e.to_string()),
-                ErrorKind::ConnectionRefused => (Reply::Unreachable, e.to_string()),
-                _ => (Reply::Broken, e.to_string()),
-            })?;
-            if watch > 0 {
-                let mut running = self.running();
-                if running.number != watch {
-                    return Err((Reply::Broken, "it is over".into()));
-                }
-                running.stream = Some(Arc::clone(opened.stream()));
-            }
-            *link = Some((address, opened));
-            if hold.is_some() {
-                // Discovery holds it as long as ever, however late the connection was.
-                by = Instant::now() + patience;
+        let asked = Instant::now();
+        let mut open = connect(address, limits).map_err(|e| match e.kind() {
+            ErrorKind::TimedOut => (Reply::Silent, e.to_string()),
+            ErrorKind::ConnectionRefused => (Reply::Unreachable, e.to_string()),
+            _ => (Reply::Broken, e.to_string()),
+        })?;
+        if watch > 0 {
+            let mut running = self.running();
+            if running.number != watch {
+                return Err((Reply::Broken, "it is over".into()));
             }
+            running.stream = Some(Arc::clone(open.stream()));
         }
-        let (_, open) = link.as_mut().expect("opened above");
+        // Discovery holds a question as long as ever, however late its connection was.
+        let by = if hold.is_some() { Instant::now() + patience } else { asked + patience };
         let line = match hold {
             Some((hold, from)) => format!("GET {PATH}?from={from}&hold_ms={}", hold.as_millis()),
             None => format!("GET {PATH}"),
@@ -517,10 +505,7 @@
         };
         open.send(by).map_err(fault("not sent"))?;
         let head = open.head(limits, by).map_err(fault("no answer"))?;
-        let body = self.body(open, &head, by).map_err(fault("half an answer"))?;
-        if !head.keeps() {
-            *link = None;
-        }
+        let body = self.body(&mut open, &head, by).map_err(fault("half an answer"))?;
         if head.status != 200 {
             return Err((Reply::TurnedAway, format!("answered with {}", head.status)));
         }
