--- a/src/connection_sharing.rs
+++ b/src/connection_sharing.rs
@@ -15,12 +15,15 @@
 /// Messages of all calls that a connection carries: their ids are kept until it ends.
 const MOST_MESSAGES: usize = 64;
 
-/// Whether a message may travel where a refusal leaves it in doubt: it can be repeated, and will be remembered by its receiver
-/// for longer than `pause`, the longest between two tries.
-pub fn bears_doubt(repeat: Repeat, pause: Span) -> bool {
+/// A receiver that remembers a message for less may have forgotten it before a refused call was made again.
+const LEAST_MEMORY: Span = Span::millis(5_000);
+
+/// Whether a message may travel where a refusal leaves it in doubt: it can be repeated, and is remembered by its receiver for long
+/// enough to be tried again.
+pub fn bears_doubt(repeat: Repeat) -> bool {
     match repeat {
         Repeat::Resendable => true,
-        Repeat::Referenced { memory, one_zone } => !one_zone && memory > pause,
+        Repeat::Referenced { memory, one_zone } => !one_zone && memory >= LEAST_MEMORY,
         Repeat::OnceOnly => false,
     }
 }
