Peer: a connect that takes longer than usual is given up for a second one

A lost packet comes again only after a second otherwise: reload::a_connection_that_is_long_in_coming_is_tried_again forces it by a full backlog.

--- a/crates/sender/src/carrier.rs
+++ b/crates/sender/src/carrier.rs
@@ -2,15 +2,18 @@
 
 use crate::answer::{self, Answered, Ends};
 use crate::call::{Call, Submit};
+use crate::clock::{duration, span};
 use crate::http::{self, AnswerHead};
 use crate::link::{self, AtRest, Fault, Link};
 use crate::peer::Trunk;
 use crate::{log, log_account, log_request};
 use indigomast::api::{EndpointId, Verdict};
+use indigomast::connect_patience::ConnectPatience;
 use indigomast::connection_sharing::{ConnectionUse, Proof};
+use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// By which a call that is out can be revoked from outside.
 #[derive(Default)]
@@ -72,18 +75,34 @@
     connection: u64,
     calls: u64,
     connection_use: ConnectionUse,
+    connect_patience: SharedPatience,
 }
 
+/// What connects to an endpoint have taken, for all of its connections.
+pub type SharedPatience = Arc<Mutex<ConnectPatience>>;
+
 impl Carrier {
     pub fn new(
         endpoint: EndpointId,
         address: SocketAddr,
         trunk: &Arc<Trunk>,
         control: &SharedControl,
+        connect_patience: &SharedPatience,
     ) -> Carrier {
         let (trunk, control) = (Arc::clone(trunk), Arc::clone(control));
+        let connect_patience = Arc::clone(connect_patience);
         let (link, connection_use) = (None, ConnectionUse::default());
-        Carrier { endpoint, address, trunk, control, link, connection: 0, calls: 0, connection_use }
+        Carrier {
+            endpoint,
+            address,
+            trunk,
+            control,
+            link,
+            connection: 0,
+            calls: 0,
+            connection_use,
+            connect_patience,
+        }
     }
 
     /// Carries one call to its end; whether the connection can carry another. The peer hears that it rests
@@ -151,6 +170,25 @@
         );
     }
 
+    /// Connects within a time. Where that takes longer than usual the attempt is given up for a second one.
+    fn connects(&self, within: Duration) -> io::Result<Link> {
+        let patience = || self.connect_patience.lock().unwrap_or_else(PoisonError::into_inner);
+        let usual = patience().tries_again_after().map(duration).filter(|usual| *usual < within);
+        let begun = Instant::now();
+        let connect = |within| {
+            let begun = Instant::now();
+            let opened = Link::open(self.address, within);
+            opened.inspect(|_| patience().came_up(span(begun.elapsed())))
+        };
+        match connect(usual.unwrap_or(within)) {
+            Err(e) if usual.is_some() && e.kind() == ErrorKind::TimedOut => {
+                self.trunk.counters.connects_repeated.add(1);
+                connect(within.saturating_sub(begun.elapsed()))
+            }
+            connected => connected,
+        }
+    }
+
     /// What this sender has not enough of is no fault of the endpoint's.
     fn unopened(&self, e: &std::io::Error) -> Verdict {
         if !link::is_shortage(e) {
@@ -179,7 +217,7 @@
             let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
             let left = latest.saturating_duration_since(Instant::now());
             log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
-            let opened = Link::open(self.address, left.min(self.trunk.site.get().connect_time));
+            let opened = self.connects(left.min(self.trunk.site.get().connect_time));
             self.link = Some(opened.map_err(|e| self.unopened(&e))?);
             (self.connection, self.calls) = (self.trunk.counters.endpoint_connections.next(), 0);
             self.connection_use = ConnectionUse::default();
--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -36,6 +36,7 @@
     calls,
     endpoint_connections,
     endpoint_reuses,
+    connects_repeated,
     unasked,
     submitted,
     delivered,
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -5,7 +5,7 @@
 
 use crate::answer::Answered;
 use crate::call::{Call, Submit};
-use crate::carrier::{Carrier, SharedControl, lock};
+use crate::carrier::{Carrier, SharedControl, SharedPatience, lock};
 use crate::clock::span;
 use crate::config::InForce;
 use crate::counters::Counters;
@@ -87,6 +87,7 @@
     pub fn run(self, asks: Receiver<Ask>) {
         let mut lines: BTreeMap<usize, Line> = BTreeMap::new();
         let (mut next, mut retired) = (0, false);
+        let connect_patience = SharedPatience::default();
         loop {
             // A connection at rest is given up by dropping the way to it.
             let (now, rest) = (Instant::now(), self.trunk.rest());
@@ -111,7 +112,7 @@
                     let number = last.unwrap_or(next);
                     if last.is_none() {
                         next += 1;
-                        match self.open(number) {
+                        match self.open(number, &connect_patience) {
                             Ok(line) => _ = lines.insert(number, line),
                             Err(why) => {
                                 log!("no connection to {} can be had: {why}", self.address);
@@ -160,7 +161,7 @@
         });
     }
 
-    fn open(&self, number: usize) -> Result<Line, String> {
+    fn open(&self, number: usize, connect_patience: &SharedPatience) -> Result<Line, String> {
         let trunk = Arc::clone(&self.trunk);
         // Where few sockets are granted, connections that rest at some endpoints would keep calls from all
         // others. One that makes room is open a moment longer; no more can be so than calls may be out.
@@ -172,7 +173,7 @@
         }
         let (calls, inbox) = bounded::<Box<Call>>(1);
         let control = SharedControl::default();
-        let mut carrier = Carrier::new(self.endpoint, self.address, &trunk, &control);
+        let mut carrier = Carrier::new(self.endpoint, self.address, &trunk, &control, connect_patience);
         let peer = self.own.clone();
         let work = move || {
             while let Ok(mut call) = inbox.recv() {
--- a/crates/sender/tests/sender/reload.rs
+++ b/crates/sender/tests/sender/reload.rs
@@ -3,7 +3,8 @@
 use crate::common::*;
 use rustix::net::listen;
 use serde_json::{Value, json};
-use std::net::{TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -60,6 +61,49 @@
     }
 }
 
+/// Whether a connect to this address is under way, by the system's table of sockets.
+fn connects(address: SocketAddr) -> bool {
+    let remote = format!("0100007F:{:04X} 02", address.port());
+    std::fs::read_to_string("/proc/net/tcp").expect("Linux has it").contains(&remote)
+}
+
+/// Guards against a call that waits for a lost packet, which the system sends again only after a second.
+#[test]
+fn a_connection_that_is_long_in_coming_is_tried_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listen(&listener, 0).expect("it listens");
+    let address = listener.local_addr().expect("bound");
+    let (discovery, folder) = (Host::open(), Folder::new());
+    let mut listed = member("e0", &discovery, 0, "Ready");
+    listed["host_port"] = json!(address.to_string());
+    let daemon = Daemon::start(&config(&[listed], discovery.address), &folder);
+    let answers = |listener: &TcpListener| {
+        let (mut stream, _) = listener.accept().expect("it comes");
+        let mut bytes = [0; 1024];
+        while !bytes.windows(5).any(|end| end == b"hello") {
+            let count = stream.read(&mut bytes).expect("a call");
+            assert!(count > 0, "a whole call");
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("open");
+        stream
+    };
+    assert_eq!(daemon.hand_in("free", "a", 0), 202);
+    let _first = answers(&listener);
+    daemon.counts("delivered", 1);
+    // There is room for one, and that one is taken.
+    let _fills = TcpStream::connect(address).expect("there is room for one");
+    assert_eq!(daemon.hand_in("free", "b", 0), 202);
+    while !connects(address) {
+        thread::yield_now();
+    }
+    let since = Instant::now();
+    let _filled = listener.accept().expect("it is there");
+    let _second = answers(&listener);
+    assert!(since.elapsed() < Duration::from_millis(700), "{:?}", since.elapsed());
+    daemon.counts("delivered", 2);
+    assert!(daemon.counter("connects_repeated") >= 1);
+}
+
 /// The time within which a sender has to ask, its number and how many there are may all change.
 #[test]
 fn the_list_is_asked_for_as_often_as_a_reload_says() {
--- a/crates/sender/tests/sender/soak.rs
+++ b/crates/sender/tests/sender/soak.rs
@@ -1,5 +1,6 @@
 //! Restarts under load, drawn from a seed: signals in series, clients that go on using open connections until the kill,
-//! endpoints that hang meanwhile, crowds, failing calls, a clock that is stepped, a process that is held up.
+//! endpoints that hang meanwhile or repeat earlier answers, crowds, failing calls, a clock that is stepped, a process that is
+//! held up.
 //!
 //! `INDIGOMAST_SOAK=FROM-TO` plays these seeds; eight where it is not set. Each says what was drawn for it.
 
@@ -40,12 +41,20 @@
     steps: bool,
     failing: bool,
     held_up: bool,
+    /// Calls of several messages share connections, and one in three on a used one meets a copy of the answer before.
+    copies: bool,
 }
 
 impl Trouble {
     fn of(seed: u64) -> Trouble {
         let every = |n: u64, at: u64| seed % n == at;
-        Trouble { crowd: every(4, 3), steps: every(3, 0), failing: every(3, 1), held_up: every(5, 2) }
+        Trouble {
+            crowd: every(4, 3),
+            steps: every(3, 0),
+            failing: every(3, 1),
+            held_up: every(5, 2),
+            copies: every(2, 1),
+        }
     }
 }
 
@@ -101,76 +110,113 @@
     }
 
     /// What a call was given; one that never ran leaves no doubt.
-    fn gets(&self, id: &str, visit_came: Instant, turn: usize, given: Given) {
+    fn gets(&self, ids: &[String], came: Instant, turn: usize, given: Given) {
         let mut record = self.record();
-        record.seen.gets(id, turn, given);
-        if given != Given::NeverRan {
-            record.first_doubt.entry(id.to_owned()).or_insert(visit_came);
+        for id in ids {
+            record.seen.gets(id, turn, given);
+            if given != Given::NeverRan {
+                record.first_doubt.entry(id.clone()).or_insert(came);
+            }
+            if given == Given::Delivered {
+                record.ended.entry(id.clone()).or_insert_with(Instant::now);
+            }
         }
-        if given == Given::Delivered {
-            record.ended.entry(id.to_owned()).or_insert_with(Instant::now);
+    }
+
+    /// It may run from now on, whatever becomes of it.
+    fn runs(&self, ids: &[String], came: Instant) {
+        let mut record = self.record();
+        ids.iter().for_each(|id| _ = record.first_doubt.entry(id.clone()).or_insert(came));
+    }
+}
+
+/// The last answer on each connection of an endpoint, which may come again behind the next call there.
+struct Copies {
+    dice: Dice,
+    last: BTreeMap<usize, Vec<u8>>,
+}
+
+impl Copies {
+    fn behind_call(&mut self, visit: &Visit) {
+        let last = self.last.remove(&visit.connection);
+        if let Some(copy) = last.filter(|_| self.dice.roll(3) == 0) {
+            visit.writes_beside(copy);
         }
     }
+
+    fn answers(&mut self, visit: Visit, answer: Vec<u8>) {
+        self.last.insert(visit.connection, answer.clone());
+        visit.answer(answer);
+    }
 }
 
 /// One endpoint: mostly delivers, now and then fails in each of its ways, and hangs while it is told to.
 fn serve(host: &Arc<Host>, number: usize, seed: u64, shared: &Arc<Shared>) {
     let mut dice = Dice(seed ^ ((number as u64 + 1) * 77_777));
-    let mut hung: Vec<(String, Visit)> = Vec::new();
+    let mut copies = Copies { dice: Dice(seed ^ number as u64), last: BTreeMap::new() };
+    let mut hung: Vec<(Vec<String>, Visit)> = Vec::new();
     while !shared.over.load(Ordering::Relaxed) {
         let visit = host.next_within(Duration::from_millis(20));
-        hung.retain(|(id, visit)| {
+        hung.retain(|(ids, visit)| {
             let gone = visit.gone.load(Ordering::SeqCst);
             if gone {
-                shared.gets(id, visit.came, visit.turn, Given::Unknown);
+                shared.gets(ids, visit.came, visit.turn, Given::Unknown);
             }
             !gone
         });
         let Some(visit) = visit else { continue };
-        let id = visit.header("x-request-id").to_owned();
+        let ids = visit.ids();
         // The end of the call before is seen a moment after it.
-        while let Some(at) = hung.iter().position(|(other, _)| *other == id) {
+        while let Some(at) =
+            hung.iter().position(|(others, _)| others.iter().any(|other| ids.contains(other)))
+        {
             if visit.came.elapsed() > Duration::from_millis(100) {
                 break;
             }
             if hung[at].1.gone.load(Ordering::SeqCst) {
-                let (_, before) = hung.remove(at);
-                shared.gets(&id, before.came, before.turn, Given::Unknown);
+                let (others, before) = hung.remove(at);
+                shared.gets(&others, before.came, before.turn, Given::Unknown);
             }
             thread::sleep(Duration::from_millis(5));
         }
-        shared.comes(&visit, &id);
+        ids.iter().for_each(|id| shared.comes(&visit, id));
+        if Trouble::of(seed).copies {
+            copies.behind_call(&visit);
+        }
         let (came, turn) = (visit.came, visit.turn);
         if number < shared.hanging.load(Ordering::SeqCst) {
-            shared.record().first_doubt.entry(id.clone()).or_insert(came);
-            hung.push((id, visit));
+            shared.runs(&ids, came);
+            hung.push((ids, visit));
             continue;
         }
         match dice.roll(100) {
             0 => {
-                shared.gets(&id, came, turn, Given::Unknown);
+                shared.gets(&ids, came, turn, Given::Unknown);
                 visit.status(500);
             }
             1 => {
-                shared.gets(&id, came, turn, Given::Unknown);
+                shared.gets(&ids, came, turn, Given::Unknown);
                 visit.hang_up();
             }
             2 => {
-                shared.gets(&id, came, turn, Given::NeverRan);
+                shared.gets(&ids, came, turn, Given::NeverRan);
                 visit.answer("HTTP/1.1 429 X\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n");
             }
             3..=50 => {
                 let shared = Arc::clone(shared);
-                shared.record().first_doubt.entry(id.clone()).or_insert(came);
+                shared.runs(&ids, came);
+                let answer = visit.all_done();
+                copies.last.insert(visit.connection, answer.clone());
                 thread::spawn(move || {
                     thread::sleep(Duration::from_millis(30));
-                    shared.gets(&id, came, turn, Given::Delivered);
-                    visit.status(200);
+                    shared.gets(&ids, came, turn, Given::Delivered);
+                    visit.answer(answer);
                 });
             }
             _ => {
-                shared.gets(&id, came, turn, Given::Delivered);
-                visit.status(200);
+                shared.gets(&ids, came, turn, Given::Delivered);
+                let answer = visit.all_done();
+                copies.answers(visit, answer);
             }
         }
     }
@@ -342,12 +388,13 @@
 fn play(seed: u64) -> Result<String, String> {
     let trouble = Trouble::of(seed);
     let (discovery, folder) = (Arc::new(Host::open()), Folder::new());
-    let endpoints: Vec<Arc<Host>> = (0..DESTS).map(|_| Arc::new(Host::open())).collect();
+    let endpoints: Vec<Arc<Host>> = (0..DESTS).map(|_| Arc::new(Host::reading_ahead())).collect();
     let listed = |(at, host): (usize, &Arc<Host>)| member(&format!("e{at}"), host, at as u64, "Ready");
     let members: Vec<Value> = endpoints.iter().enumerate().map(listed).collect();
     let mut config = config(&members, discovery.address);
     config["settings"]["ceilings"]["most-held"] = json!(400);
     config["limits"]["sockets"] = json!(256);
+    config["settings"]["family-info"]["kind-batch"] = json!([if trouble.copies { 5 } else { 1 }]);
     for category in config["settings"]["categories"].as_array_mut().expect("a list") {
         category["window-ms"] = json!(WINDOW.as_millis() as f64);
     }
--- /dev/null
+++ b/tests/connect_patience.rs
@@ -0,0 +1,35 @@
+//! When a second connection is tried, by what connects have taken.
+
+use indigomast::connect_patience::ConnectPatience;
+use indigomast::time::Span;
+
+fn after(samples: impl IntoIterator<Item = i64>) -> f64 {
+    let mut patience = ConnectPatience::default();
+    samples.into_iter().for_each(|took| patience.came_up(Span::millis(took)));
+    patience.tries_again_after().expect("something came up").as_millis()
+}
+
+#[test]
+fn nothing_is_tried_again_before_a_connection_came_up() {
+    assert_eq!(ConnectPatience::default().tries_again_after(), None);
+}
+
+#[test]
+fn a_second_try_comes_once_a_connect_is_out_of_the_ordinary() {
+    let even = after([60; 40]);
+    assert!((60.0..90.0).contains(&even), "{even}");
+    let jittered = after((0..40).map(|n| 40 + n % 5 * 20));
+    assert!((120.0..260.0).contains(&jittered), "{jittered}");
+}
+
+#[test]
+fn a_second_try_is_not_a_matter_of_a_moment() {
+    assert_eq!(after([0; 40]), 50.0);
+}
+
+/// Guards against an endpoint that grew slow and is asked for two connections a call from then on.
+#[test]
+fn an_endpoint_that_grew_slow_is_waited_for() {
+    let grown = after([30; 40].into_iter().chain([300; 8]));
+    assert!(grown > 300.0, "{grown}");
+}
