Peer: descriptors go back before outcomes are told; a test registry keeps its port

Need: with a connection a call, a call that followed on an outcome could find the descriptor of the one before still taken, and come back as not sent. Change: a carrier that ends gives it back first; what the connections to one endpoint share is one type (Target). The rig: list_age::texts_go_out_while_nobody_listens_at_discovery failed once in a run of the whole crate ('discovery is back and nobody asks'). Traced: the stand-in gave its port up while it was gone; with a socket bound to it meanwhile, as any connection of another test may be, the same words come (a trial). Ruled out: a question that comes before the count (a trial that waits for it passes). It now keeps the port and stops listening, so connects are refused as before.

--- a/crates/sender/src/carrier.rs
+++ b/crates/sender/src/carrier.rs
@@ -10,6 +10,7 @@
 use indigomast::api::{EndpointId, Verdict};
 use indigomast::connect_patience::ConnectPatience;
 use indigomast::connection_sharing::{ConnectionUse, Proof};
+use indigomast_admission::Token;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -64,44 +65,38 @@
     control.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// What the connections to one endpoint share.
+pub struct Target {
+    pub endpoint: EndpointId,
+    pub address: SocketAddr,
+    pub trunk: Arc<Trunk>,
+    /// What connects there have taken.
+    pub connect_patience: Mutex<ConnectPatience>,
+}
+
 /// The thread of one connection.
 pub struct Carrier {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    trunk: Arc<Trunk>,
+    target: Arc<Target>,
     control: SharedControl,
+    /// The right to a descriptor, until there will be no other call.
+    token: Option<Token>,
     link: Option<Link>,
     /// The connection's own number in this process, how many calls it has carried, and which.
     connection: u64,
     calls: u64,
     connection_use: ConnectionUse,
-    connect_patience: SharedPatience,
 }
 
-/// What connects to an endpoint have taken, for all of its connections.
-pub type SharedPatience = Arc<Mutex<ConnectPatience>>;
-
 impl Carrier {
-    pub fn new(
-        endpoint: EndpointId,
-        address: SocketAddr,
-        trunk: &Arc<Trunk>,
-        control: &SharedControl,
-        connect_patience: &SharedPatience,
-    ) -> Carrier {
-        let (trunk, control) = (Arc::clone(trunk), Arc::clone(control));
-        let connect_patience = Arc::clone(connect_patience);
-        let (link, connection_use) = (None, ConnectionUse::default());
+    pub fn new(target: Arc<Target>, control: SharedControl, token: Token) -> Carrier {
         Carrier {
-            endpoint,
-            address,
-            trunk,
+            target,
             control,
-            link,
+            token: Some(token),
+            link: None,
             connection: 0,
             calls: 0,
-            connection_use,
-            connect_patience,
+            connection_use: ConnectionUse::default(),
         }
     }
 
@@ -113,7 +108,7 @@
         let answer = match sent.and_then(|()| self.await_own_answer(call)) {
             Ok(answer) => answer,
             Err(verdict) => {
-                self.drop_link("its call failed");
+                self.ends("its call failed");
                 let verdict = if lock(&self.control).revoked { Verdict::Cancelled } else { verdict };
                 call.tell(|_| verdict.into());
                 return false;
@@ -127,7 +122,7 @@
             if answer.body.is_some() && untaken > 0 {
                 self.log_unasked("behind an answer", untaken);
             }
-            self.drop_link("the answer was its last");
+            self.ends("the answer was its last");
         }
         self.tell_all(call, &answer);
         keeps
@@ -139,11 +134,18 @@
         call.shares_connection && answer.proof == Proof::Named && answer.head.keeps() && clean
     }
 
+    /// There will be no other call here. A call that follows on the outcome, which is told after this, finds the right to a
+    /// descriptor given back; and that goes back after the descriptor.
+    fn ends(&mut self, reason: &str) {
+        self.drop_link(reason);
+        self.token = None;
+    }
+
     pub fn drop_link(&mut self, reason: &str) {
         lock(&self.control).stream = None;
         if let Some(link) = self.link.take() {
             log_request!(
-                endpoint = self.endpoint.0, address:% = self.address, connection = self.connection,
+                endpoint = self.target.endpoint.0, address:% = self.target.address, connection = self.connection,
                 calls = self.calls, reason;
                 "connection closed"
             );
@@ -154,7 +156,7 @@
     /// What came back for a call. What its texts are taken for stands in the line of each call's end.
     fn log_answer(&self, call: &Call, head: &AnswerHead, body: Option<&[u8]>) {
         log_request!(
-            ids:% = call, endpoint = self.endpoint.0, connection = self.connection, calls = self.calls,
+            ids:% = call, endpoint = self.target.endpoint.0, connection = self.connection, calls = self.calls,
             status = head.status, bytes = body.map_or(-1, |body| body.len() as i64),
             after_ms = call.sent.elapsed().as_millis();
             "answer"
@@ -162,9 +164,9 @@
     }
 
     fn log_unasked(&self, when: &str, bytes: usize) {
-        self.trunk.counters.unasked.add(1);
+        self.target.trunk.counters.unasked.add(1);
         log!(
-            endpoint = self.endpoint.0, address:% = self.address, connection = self.connection, calls = self.calls,
+            endpoint = self.target.endpoint.0, address:% = self.target.address, connection = self.connection, calls = self.calls,
             when, bytes;
             "bytes that nobody asked for"
         );
@@ -172,17 +174,17 @@
 
     /// Connects within a time. Where that takes longer than usual the attempt is given up for a second one.
     fn connects(&self, within: Duration) -> io::Result<Link> {
-        let patience = || self.connect_patience.lock().unwrap_or_else(PoisonError::into_inner);
+        let patience = || self.target.connect_patience.lock().unwrap_or_else(PoisonError::into_inner);
         let usual = patience().tries_again_after().map(duration).filter(|usual| *usual < within);
         let begun = Instant::now();
         let connect = |within| {
             let begun = Instant::now();
-            let opened = Link::open(self.address, within);
+            let opened = Link::open(self.target.address, within);
             opened.inspect(|_| patience().came_up(span(begun.elapsed())))
         };
         match connect(usual.unwrap_or(within)) {
             Err(e) if usual.is_some() && e.kind() == ErrorKind::TimedOut => {
-                self.trunk.counters.connects_repeated.add(1);
+                self.target.trunk.counters.connects_repeated.add(1);
                 connect(within.saturating_sub(begun.elapsed()))
             }
             connected => connected,
@@ -194,17 +196,17 @@
         if !link::is_shortage(e) {
             return Verdict::ConnectFailed;
         }
-        self.trunk.counters.no_descriptor.add(1);
-        log!("no connection to {} can be had: {e}", self.address);
+        self.target.trunk.counters.no_descriptor.add(1);
+        log!("no connection to {} can be had: {e}", self.target.address);
         Verdict::Moot
     }
 
     /// Sends the call; an error means that its last byte has not left. A text whose time is up before the call can leave
     /// stays behind: the others of its call don't hang on it.
     fn send(&mut self, call: &mut Call) -> Result<(), Verdict> {
-        let found = self.link.as_ref().map(|link| link.at_rest(&self.trunk.limits));
+        let found = self.link.as_ref().map(|link| link.at_rest(&self.target.trunk.limits));
         if found == Some(AtRest::Quiet) && self.connection_use.may_carry(call.ids()) {
-            self.trunk.counters.endpoint_reuses.add(1);
+            self.target.trunk.counters.endpoint_reuses.add(1);
         } else {
             if found == Some(AtRest::Unasked) {
                 self.log_unasked("at rest", self.link.as_ref().map_or(0, Link::untaken));
@@ -216,10 +218,10 @@
             self.drop_link(reason);
             let latest = call.parts.iter().map(|part| part.by.min(part.leave_by)).max().unwrap_or(call.sent);
             let left = latest.saturating_duration_since(Instant::now());
-            log_account!(endpoint = self.endpoint.0, texts = call.parts.len(); "connects");
-            let opened = self.connects(left.min(self.trunk.site.get().connect_time));
+            log_account!(endpoint = self.target.endpoint.0, texts = call.parts.len(); "connects");
+            let opened = self.connects(left.min(self.target.trunk.site.get().connect_time));
             self.link = Some(opened.map_err(|e| self.unopened(&e))?);
-            (self.connection, self.calls) = (self.trunk.counters.endpoint_connections.next(), 0);
+            (self.connection, self.calls) = (self.target.trunk.counters.endpoint_connections.next(), 0);
             self.connection_use = ConnectionUse::default();
         }
         let now = Instant::now();
@@ -243,7 +245,7 @@
             control.left = true;
             control.stream = Some(Arc::clone(link.stream()));
         }
-        let host = self.address.to_string();
+        let host = self.target.address.to_string();
         if let [part] = &call.parts[..]
             && !call.names_texts()
         {
@@ -268,10 +270,10 @@
         call.left = true;
         self.connection_use.begins(call.ids());
         link.send(by).map_err(|_| Verdict::ConnectFailed)?;
-        self.trunk.figures.sends.add(call.parts.len());
+        self.target.trunk.figures.sends.add(call.parts.len());
         self.calls += 1;
         log_request!(
-            ids:% = call, endpoint = self.endpoint.0, address:% = self.address, connection = self.connection,
+            ids:% = call, endpoint = self.target.endpoint.0, address:% = self.target.address, connection = self.connection,
             calls = self.calls;
             "call left"
         );
@@ -280,7 +282,7 @@
 
     /// Waits for the answer to this call, and passes over those to earlier ones on its connection.
     fn await_own_answer(&mut self, call: &Call) -> Result<Answer, Verdict> {
-        for _ in 0..=self.trunk.limits.interim {
+        for _ in 0..=self.target.trunk.limits.interim {
             let (head, body) = self.await_answer(call)?;
             self.log_answer(call, &head, body.as_deref());
             let named = call.names_texts() && head.status == 200;
@@ -292,7 +294,7 @@
             }
             self.log_unasked("before the answer", body.map_or(0, |body| body.len()));
         }
-        log!("{} repeats earlier answers and gives no other", self.address);
+        log!("{} repeats earlier answers and gives no other", self.target.address);
         Err(Verdict::Error)
     }
 
@@ -300,7 +302,7 @@
     /// ends, also for texts whose own time is up before: reported earlier, the next text of a key would meet them.
     fn await_answer(&mut self, call: &Call) -> Result<(AnswerHead, Option<Vec<u8>>), Verdict> {
         let link = self.link.as_mut().expect("sent on it");
-        let limits = &*self.trunk.limits;
+        let limits = &*self.target.trunk.limits;
         let by = call.parts.iter().map(|part| part.by).max().unwrap_or(call.sent);
         let head = match link.head(limits, by) {
             Ok(head) => head,
@@ -309,7 +311,7 @@
             Err(Fault::Late) => return Err(Verdict::TimeOut),
             Err(Fault::Broken) => return Err(Verdict::Reset),
             Err(fault) => {
-                log!("{} answered what can't be read: {fault:?}", self.address);
+                log!("{} answered what can't be read: {fault:?}", self.target.address);
                 return Err(Verdict::Error);
             }
         };
@@ -317,7 +319,7 @@
         let rest = if tells_wait { limits.wait_rest } else { limits.answer_rest };
         let body = link.body(&head, limits.body, Instant::now() + rest);
         if let Err(fault) = &body {
-            log!("half an answer from {}: {fault:?}", self.address);
+            log!("half an answer from {}: {fault:?}", self.target.address);
         }
         Ok((head, body.ok()))
     }
@@ -327,7 +329,7 @@
         call.tell(|part| {
             let answered = answer.says_of(&part.id, names_texts);
             if answered.verdict == Verdict::Error && !matches!(answer.head.status, 200 | 500) {
-                log!("{} answered a call with {}", self.address, answer.head.status);
+                log!("{} answered a call with {}", self.target.address, answer.head.status);
             }
             answered
         });
--- a/crates/sender/src/peer.rs
+++ b/crates/sender/src/peer.rs
@@ -5,7 +5,7 @@
 
 use crate::answer::Answered;
 use crate::call::{Call, Submit};
-use crate::carrier::{Carrier, SharedControl, SharedPatience, lock};
+use crate::carrier::{Carrier, SharedControl, Target, lock};
 use crate::clock::span;
 use crate::config::InForce;
 use crate::counters::Counters;
@@ -87,7 +87,12 @@
     pub fn run(self, asks: Receiver<Ask>) {
         let mut lines: BTreeMap<usize, Line> = BTreeMap::new();
         let (mut next, mut retired) = (0, false);
-        let connect_patience = SharedPatience::default();
+        let target = Arc::new(Target {
+            endpoint: self.endpoint,
+            address: self.address,
+            trunk: Arc::clone(&self.trunk),
+            connect_patience: Mutex::default(),
+        });
         loop {
             // A connection at rest is given up by dropping the way to it.
             let (now, rest) = (Instant::now(), self.trunk.rest());
@@ -112,7 +117,7 @@
                     let number = last.unwrap_or(next);
                     if last.is_none() {
                         next += 1;
-                        match self.open(number, &connect_patience) {
+                        match self.open(number, &target) {
                             Ok(line) => _ = lines.insert(number, line),
                             Err(why) => {
                                 log!("no connection to {} can be had: {why}", self.address);
@@ -161,7 +166,7 @@
         });
     }
 
-    fn open(&self, number: usize, connect_patience: &SharedPatience) -> Result<Line, String> {
+    fn open(&self, number: usize, target: &Arc<Target>) -> Result<Line, String> {
         let trunk = Arc::clone(&self.trunk);
         // Where few sockets are granted, connections that rest at some endpoints would keep calls from all
         // others. One that makes room is open a moment longer; no more can be so than calls may be out.
@@ -173,7 +178,7 @@
         }
         let (calls, inbox) = bounded::<Box<Call>>(1);
         let control = SharedControl::default();
-        let mut carrier = Carrier::new(self.endpoint, self.address, &trunk, &control, connect_patience);
+        let mut carrier = Carrier::new(Arc::clone(target), Arc::clone(&control), token);
         let peer = self.own.clone();
         let work = move || {
             while let Ok(mut call) = inbox.recv() {
@@ -189,9 +194,7 @@
                 }
             }
             carrier.drop_link("given up at rest");
-            // The right to a descriptor goes back after the descriptor.
             drop(carrier);
-            drop(token);
             // A call that was handed over when this had said that it rests ends with the way to it, which the peer gives
             // up when it hears that this is over.
             drop(inbox);
--- a/crates/sender/tests/sender/registry.rs
+++ b/crates/sender/tests/sender/registry.rs
@@ -77,8 +77,9 @@
 impl Registry {
     /// With these members as revision 41, which a configuration made by [`config`] knows.
     pub fn open(members: &[Value], manners: Manners) -> Registry {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("bound");
+        let address = TcpListener::bind("127.0.0.1:0").and_then(|any| any.local_addr()).expect("a free port");
+        // Bound by its number, it keeps that also while nobody listens there.
+        let listener = TcpListener::bind(address).expect("it was free");
         let name = |member: &Value| member["id"].as_str().expect("a name").to_owned();
         let state = State {
             revision: 41,
@@ -146,22 +147,23 @@
 }
 
 fn listen(listener: TcpListener, state: &Arc<Mutex<State>>) {
-    let address = listener.local_addr().expect("bound");
-    let mut listener = Some(listener);
+    let mut listens = true;
     // Ends with the last other owner of the state: the registry that a test holds.
     while Arc::strong_count(state) > 1 {
         let gone = state.lock().expect("sound").is_gone;
-        if gone {
-            listener = None;
-        } else if listener.is_none() {
-            listener = TcpListener::bind(address).ok();
+        if gone && listens {
+            // Linux refuses connections from now on, and leaves the port to nobody else.
+            socket2::SockRef::from(&listener).shutdown(Shutdown::Both).expect("it listens");
+        } else if !gone && !listens {
+            rustix::net::listen(&listener, 128).expect("the port is its own");
         }
-        let Some(open) = &listener else {
+        listens = !gone;
+        if gone {
             thread::sleep(LOOKS);
             continue;
-        };
-        open.set_nonblocking(true).expect("a mode is set");
-        match open.accept() {
+        }
+        listener.set_nonblocking(true).expect("a mode is set");
+        match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(false).expect("a mode is set");
                 let copy = stream.try_clone().expect("a copy");
