Review, case 2: a good new configuration is turned down, and notices are lost

Cause: a class added by SIGHUP without the optional key in-order counts as a file cut short, where all classes before had that key. The whole file is turned down, the move of discovery in it too.

Change: the second case of the review, with stand-ins for the old and the new discovery.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,8 @@
 
 #[path = "../1/case.rs"]
 mod case_1;
+#[path = "../2/case.rs"]
+mod case_2;
 mod kit;
 
 use std::path::Path;
@@ -14,6 +16,7 @@
     _ = std::fs::remove_file(&log);
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "1" => case_1::play(&record, &log),
+        "2" => case_2::play(&record, &log),
         _ => kit::cannot("there is no such case"),
     });
     std::process::exit(played.unwrap_or(2));
