--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,8 @@
 mod case_1;
 #[path = "../2/case.rs"]
 mod case_2;
+#[path = "../3/case.rs"]
+mod case_3;
 mod kit;
 
 use std::path::Path;
@@ -17,6 +19,7 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "1" => case_1::play(&record, &log),
         "2" => case_2::play(&record, &log),
+        "3" => case_3::play(&record, &log),
         _ => kit::cannot("there is no such case"),
     });
     std::process::exit(played.unwrap_or(2));
