Review: classes of cases 2 and 3 as the platform writes them

The cases had other forms.

Change: the classes of both cases have these forms; each file differs from a good one in one key.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,4 +1,5 @@
-//! A new configuration under load: discovery moves, and a class is added that has no key of the optional `in-order`.
+//! A new configuration under load: discovery moves, and a class is added that keeps no order, without the
+//! optional key `in-order`.
 
 use crate::kit::*;
 use std::collections::BTreeMap;
@@ -9,10 +10,9 @@
 use std::time::{Duration, Instant};
 
 const RECEIPT: &str = r#"{"deadline-ms":24000.0,"group":"all","in-order":true,"late-worth":0.5,"name":"receipt","objective-ms":3000.0,"repeat":"idempotency_key","stream":false,"window-ms":15000.0,"worth":1.0}"#;
-/// As the settings page has it for a class that may simply be repeated: `in-order` is optional there, `group` and `window-ms`
-/// are for keyed classes.
-const STATUS: &str = r#"{"deadline-ms":24000.0,"late-worth":0.5,"name":"status","objective-ms":3000.0,"repeat":"read_like","stream":false,"worth":1.0}"#;
-const STATUS_WITH_KEY: &str = r#"{"deadline-ms":24000.0,"in-order":false,"late-worth":0.5,"name":"status","objective-ms":3000.0,"repeat":"read_like","stream":false,"worth":1.0}"#;
+/// As the platform writes a class that keeps no order: without the optional key `in-order`.
+const STATUS: &str = r#"{"deadline-ms":24000.0,"group":"all","late-worth":0.5,"name":"status","objective-ms":3000.0,"repeat":"read_like","stream":false,"window-ms":5000.0,"worth":1.0}"#;
+const STATUS_WITH_KEY: &str = r#"{"deadline-ms":24000.0,"group":"all","in-order":false,"late-worth":0.5,"name":"status","objective-ms":3000.0,"repeat":"read_like","stream":false,"window-ms":5000.0,"worth":1.0}"#;
 
 /// The number of the gateway that answers late.
 const SLOW: u64 = 3;
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -9,12 +9,12 @@
 use std::time::{Duration, Instant};
 
 const RECEIPT: &str = r#"{"deadline-ms":24000.0,"group":"all","in-order":true,"late-worth":0.5,"name":"receipt","objective-ms":3000.0,"repeat":"idempotency_key","stream":false,"window-ms":15000.0,"worth":1.0}"#;
-/// May never run twice.
-const PAYMENT: &str = r#"{"deadline-ms":24000.0,"in-order":false,"late-worth":0.5,"name":"payment","objective-ms":3000.0,"repeat":"non_idempotent","stream":false,"worth":5.0}"#;
-/// Short of `group`.
-const BROKEN: &str = r#"{"deadline-ms":24000.0,"in-order":false,"late-worth":0.5,"name":"payment","objective-ms":3000.0,"repeat":"idempotency_key","stream":false,"window-ms":15000.0,"worth":5.0}"#;
-/// Short of `deadline-ms`, for comparison.
-const OTHERWISE_BROKEN: &str = r#"{"group":"all","in-order":false,"late-worth":0.5,"name":"payment","objective-ms":3000.0,"repeat":"idempotency_key","stream":false,"window-ms":15000.0,"worth":5.0}"#;
+/// May never run twice. The platform writes `group` and `window-ms` for each class.
+const PAYMENT: &str = r#"{"deadline-ms":24000.0,"group":"all","late-worth":0.5,"name":"payment","objective-ms":3000.0,"repeat":"non_idempotent","stream":false,"window-ms":5000.0,"worth":5.0}"#;
+/// Another effect, and short of `group`.
+const BROKEN: &str = r#"{"deadline-ms":24000.0,"late-worth":0.5,"name":"payment","objective-ms":3000.0,"repeat":"idempotency_key","stream":false,"window-ms":15000.0,"worth":5.0}"#;
+/// The same, but short of `deadline-ms` in its place, for comparison.
+const OTHERWISE_BROKEN: &str = r#"{"group":"all","late-worth":0.5,"name":"payment","objective-ms":3000.0,"repeat":"idempotency_key","stream":false,"window-ms":15000.0,"worth":5.0}"#;
 
 const LENGTH: Duration = Duration::from_secs(16);
 const CHANGES_AT: Duration = Duration::from_secs(5);
--- a/review/harness/kit.rs
+++ b/review/harness/kit.rs
@@ -344,23 +344,26 @@
         handle: impl Fn(&Call) -> Reply + Send + Sync + 'static,
         answered: impl Fn(&Call, &[u8]) + Send + Sync + 'static,
     ) -> Endpoint {
-        Endpoint::on(listener(), handle, answered)
+        Endpoint::watched(handle, answered, |_| {})
     }
 
-    pub fn on(
-        listener: TcpListener,
+    /// The same; `gone` hears when the sender ended the connection of a call that gets no answer.
+    pub fn watched(
         handle: impl Fn(&Call) -> Reply + Send + Sync + 'static,
         answered: impl Fn(&Call, &[u8]) + Send + Sync + 'static,
+        gone: impl Fn(&Call) + Send + Sync + 'static,
     ) -> Endpoint {
+        let listener = listener();
         let address = listener.local_addr().unwrap();
         let handle: Arc<Handler> = Arc::new(handle);
         let answered: Arc<dyn Fn(&Call, &[u8]) + Send + Sync> = Arc::new(answered);
+        let gone: Arc<dyn Fn(&Call) + Send + Sync> = Arc::new(gone);
         let connections = Arc::new(AtomicU64::new(0));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (handle, answered) = (Arc::clone(&handle), Arc::clone(&answered));
+                let (handle, answered, gone) = (Arc::clone(&handle), Arc::clone(&answered), Arc::clone(&gone));
                 let connection = connections.fetch_add(1, Ordering::SeqCst);
-                thread::spawn(move || serve_calls(stream, connection, &*handle, &*answered));
+                thread::spawn(move || serve_calls(stream, connection, &*handle, &*answered, &*gone));
             }
         });
         Endpoint { address }
@@ -372,6 +375,7 @@
     connection: u64,
     handle: &Handler,
     answered: &(dyn Fn(&Call, &[u8]) + Send + Sync),
+    gone: &(dyn Fn(&Call) + Send + Sync),
 ) {
     _ = stream.set_nodelay(true);
     let mut kept = Vec::new();
@@ -395,6 +399,7 @@
                 // Reads on until the other side ends.
                 let mut chunk = [0; 1024];
                 while matches!(stream.read(&mut chunk), Ok(count) if count > 0) {}
+                gone(&call);
                 return;
             }
             Reply::HangUp(time) => {
