Intake: requests reserve their memory before they hold it, by a budget that is checked

Cause: the limit was kept by counting places. A refused request held its body three times over, for 100 ms and in a thread of its own, and a connection that was evicted gave back its place at once but its memory only later (471 of them beside the 148 that were counted). Nothing compared the sum with memory_mb.

Change: MemoryBudget, free of I/O, hands out bytes as reservations; connections, heads, bodies and threads take theirs before they hold anything. A body is kept only once its head says that the message may be taken on; refusals wait without body and thread. Where no memory is left the request that stalls longest is ended, or the client is told to come again.

--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -28,6 +28,8 @@
     turned_away,
     unheard,
     turned_away_late,
+    turned_away_memory,
+    requests_evicted,
     stalls,
     bad_requests,
     conflicts,
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -24,7 +24,7 @@
 use indigomast::api::*;
 use indigomast::rules::Rules;
 use indigomast::time::{Moment, Span};
-use indigomast_admission::OverloadDetector;
+use indigomast_admission::{MemoryReservation, OverloadDetector};
 use indigomast_handover::{Incumbent, Observation, Step};
 use indigomast_site::Names;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -39,6 +39,8 @@
 pub struct HandIn {
     pub info: TextInfo,
     pub body: Arc<[u8]>,
+    /// For the request's bytes, until the text counts among those taken on or is refused.
+    pub memory: MemoryReservation,
     /// The client handed in texts on this connection before.
     pub proven: bool,
     /// When the last byte of the request was read.
@@ -697,7 +699,7 @@
 
     /// Accepts a text into the journal, to be answered after the next flush, or refuses it at once.
     fn hand_in(&mut self, text: HandIn) {
-        let HandIn { mut info, body, proven, came, reply } = text;
+        let HandIn { mut info, body, memory: _memory, proven, came, reply } = text;
         let late = self.stopping_since.is_some_and(|since| since.elapsed() >= self.limits.stop_submits);
         let full = self.journal.unfinished() >= self.site.info.ceilings.most_held || late;
         let fingerprint = info.fingerprint(&body);
--- a/crates/sender/src/http.rs
+++ b/crates/sender/src/http.rs
@@ -57,8 +57,29 @@
     pub close: bool,
 }
 
-/// Takes a whole request from the front of the ring; `None` while more of it has to come.
-pub fn take_request(ring: &mut Ring, limits: &Limits) -> Result<Option<Request>, Rejection> {
+/// What stands before the body of a request.
+#[derive(Debug)]
+pub struct RequestHead {
+    pub method: String,
+    pub path: String,
+    pub headers: Headers,
+    /// Bytes of the body that follows.
+    pub length: usize,
+    /// The connection ends with the answer.
+    pub close: bool,
+}
+
+impl RequestHead {
+    /// Bytes that it takes in memory, at most.
+    pub fn memory(&self) -> usize {
+        let pair = size_of::<(String, String)>();
+        let fields = self.headers.0.iter().map(|(name, value)| pair + name.capacity() + value.capacity());
+        self.method.capacity() + self.path.capacity() + fields.sum::<usize>()
+    }
+}
+
+/// The head of the request at the front of the ring, and its own length; `None` while more of it has to come.
+fn parse_request_head(ring: &mut Ring, limits: &Limits) -> Result<Option<(RequestHead, usize)>, Rejection> {
     let mut lines = vec![httparse::EMPTY_HEADER; limits.headers];
     let mut parsed = httparse::Request::new(&mut lines);
     let bytes = ring.bytes();
@@ -87,12 +108,30 @@
     if length > limits.body {
         return Err(BODY_TOO_LARGE);
     }
-    if bytes.len() < head + length {
+    let close = headers.lists("connection", "close") || (old && !headers.lists("connection", "keep-alive"));
+    Ok(Some((RequestHead { method, path, headers, length, close }, head)))
+}
+
+/// Takes the head of a request from the front of the ring; `None` while more of it has to come.
+///
+/// # Errors
+///
+/// The status to refuse the request with, as soon as its head tells, and before any of its body is held.
+pub fn take_request_head(ring: &mut Ring, limits: &Limits) -> Result<Option<RequestHead>, Rejection> {
+    let Some((head, bytes)) = parse_request_head(ring, limits)? else { return Ok(None) };
+    ring.consume(bytes);
+    Ok(Some(head))
+}
+
+/// Takes a whole request from the front of the ring; `None` while more of it has to come.
+pub fn take_request(ring: &mut Ring, limits: &Limits) -> Result<Option<Request>, Rejection> {
+    let Some((head, bytes)) = parse_request_head(ring, limits)? else { return Ok(None) };
+    let RequestHead { method, path, headers, length, close } = head;
+    if ring.len() < bytes + length {
         return Ok(None);
     }
-    let body = bytes[head..head + length].to_vec();
-    ring.consume(head + length);
-    let close = headers.lists("connection", "close") || (old && !headers.lists("connection", "keep-alive"));
+    let body = ring.bytes()[bytes..bytes + length].to_vec();
+    ring.consume(bytes + length);
     Ok(Some(Request { method, path, headers, body, close }))
 }
 
--- a/crates/sender/src/intake.rs
+++ b/crates/sender/src/intake.rs
@@ -1,31 +1,36 @@
 //! The intake of clients: takes requests from their connections and answers each.
 
 use crate::accept_queue::AcceptQueue;
+use crate::clients::Clients;
 use crate::clock::{Clock, span};
 use crate::config::{InForce, Site};
 use crate::counters::Counters;
 use crate::decider::{Admission, HandIn, Message};
-use crate::http::{self, Rejection, Request};
+use crate::http::{self, RequestHead};
 use crate::limits::Limits;
 use crate::link::is_shortage;
-use crate::reactor::{self, Reactor, Session};
+use crate::reactor::{self, Come, Go, Reactor};
+use crate::request_reader::{AfterBody, Progress, Refusal, WholeRequest};
 use crate::ring::Ring;
+use crate::session::Session;
 use crate::text_journal::TextInfo;
 use crate::{Mailbox, log, threads};
-use crossbeam_channel::{Sender, bounded};
-use indigomast::time::{Moment, Span};
+use crossbeam_channel::{Receiver, Sender, bounded};
+use indigomast::time::Moment;
 use indigomast_admission::{
-    Budget, ConnectionNumber, Connections, Decision, Event, Priority, Purpose, Reason, Settings, State, Token,
+    Budget, ConnectionNumber, Event, MemoryBudget, MemoryReservation, Priority, Purpose, Reason, State, Token,
 };
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, PipeReader, PipeWriter, Read, Write, pipe};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Bytes that are read from one connection before others have their turn.
+const READ_TURN: usize = 64 << 10;
+
 pub struct Intake {
     pub clock: Clock,
     pub limits: Arc<Limits>,
@@ -35,6 +40,8 @@
     pub stopping: Arc<AtomicBool>,
     pub clients: Clients,
     pub budget: Budget,
+    /// What requests may hold, with their connections and threads.
+    pub memory: MemoryBudget,
     pub reactor: Reactor,
     closed: AtomicBool,
     /// Another process is about to take over: connections end with their answer.
@@ -46,135 +53,6 @@
     wake: (PipeReader, PipeWriter),
 }
 
-/// The connections of clients that are open. Who gets a place and who makes room is decided by
-/// [`indigomast_admission`]; this only ends those that were told to go.
-pub struct Clients {
-    next: AtomicU64,
-    clock: Clock,
-    seats: Mutex<Seats>,
-}
-
-struct Seats {
-    connections: Connections,
-    /// Each with whether it was ended by this sender, for reading: what is read from then on is not sent on.
-    streams: BTreeMap<ConnectionNumber, (Arc<TcpStream>, bool)>,
-}
-
-impl Seats {
-    fn shut(&mut self, number: ConnectionNumber) {
-        if let Some((stream, shut)) = self.streams.get_mut(&number) {
-            *shut = true;
-            _ = stream.shutdown(Shutdown::Read);
-        }
-    }
-}
-
-impl Clients {
-    fn new(clock: Clock, settings: Settings) -> Clients {
-        let connections = Connections::new(settings);
-        let seats = Mutex::new(Seats { connections, streams: BTreeMap::new() });
-        Clients { next: AtomicU64::new(0), clock, seats }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Seats> {
-        self.seats.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn tell(&self, event: Event) {
-        self.lock().connections.step(self.clock.now(), event);
-    }
-
-    pub fn enters(&self, number: ConnectionNumber, state: State) {
-        self.tell(Event::StateChanged { number, state });
-    }
-
-    /// A number for one more connection, or why there is no place for it.
-    fn admit(
-        &self,
-        stream: &Arc<TcpStream>,
-        address: IpAddr,
-        priority: Priority,
-    ) -> Result<ConnectionNumber, Reason> {
-        let number = ConnectionNumber(self.next.fetch_add(1, Ordering::Relaxed));
-        let now = self.clock.now();
-        let mut seats = self.lock();
-        match seats.connections.step(now, Event::Arrived { number, address, priority }) {
-            Decision::Admitted { evicted } => {
-                evicted.into_iter().for_each(|gone| seats.shut(gone));
-                seats.streams.insert(number, (Arc::clone(stream), false));
-                Ok(number)
-            }
-            Decision::Rejected(reason) => Err(reason),
-            Decision::NoChange | Decision::Evict(_) => Err(Reason::Full),
-        }
-    }
-
-    /// Ends the one that is worth least: there is no descriptor for the next.
-    fn make_room(&self) {
-        let now = self.clock.now();
-        let mut seats = self.lock();
-        if let Decision::Evict(number) = seats.connections.step(now, Event::DescriptorShortage) {
-            seats.shut(number);
-        }
-    }
-
-    fn ended(&self, number: ConnectionNumber) {
-        let now = self.clock.now();
-        let mut seats = self.lock();
-        seats.connections.step(now, Event::Closed { number });
-        seats.streams.remove(&number);
-    }
-
-    /// Whether clients hold so many connections that some may soon find none. Those who only ask or are silent
-    /// hold none that these could have.
-    fn crowd(&self, limits: &Limits) -> bool {
-        self.lock().connections.with_texts() >= limits.crowd
-    }
-
-    /// Ends the connections at rest; clients find other senders. Not those that have never asked: they may be about to, and
-    /// can't know that nobody would look at it.
-    pub fn shut_rested(&self) {
-        let mut seats = self.lock();
-        let new = seats.connections.in_states_up_to(State::NoRequest).len();
-        // In the order of their states.
-        let rested = seats.connections.in_states_up_to(State::Idle).into_iter().skip(new);
-        rested.for_each(|number| seats.shut(number));
-    }
-
-    /// Ends those that came so long ago and have said nothing.
-    fn shut_silent(&self, since: Span) {
-        let now = self.clock.now();
-        let mut seats = self.lock();
-        let silent = seats.connections.without_request(now, since);
-        silent.into_iter().for_each(|number| seats.shut(number));
-    }
-
-    /// Takes up what has come on a connection, unless it was shut before.
-    pub fn takes_up(&self, number: ConnectionNumber) -> bool {
-        let now = self.clock.now();
-        let mut seats = self.lock();
-        let open = seats.streams.get(&number).is_some_and(|(_, shut)| !shut);
-        if open {
-            seats.connections.step(now, Event::StateChanged { number, state: State::ReadingRequest });
-        }
-        open
-    }
-
-    /// Connections that have a place.
-    fn open(&self) -> usize {
-        self.lock().streams.len()
-    }
-
-    fn is_shut(&self, number: ConnectionNumber) -> bool {
-        self.lock().streams.get(&number).is_none_or(|(_, shut)| *shut)
-    }
-
-    /// Connections turned away so far, by reason.
-    pub fn turned_away(&self) -> Vec<(Reason, u64)> {
-        self.lock().connections.rejected().collect()
-    }
-}
-
 /// A connection that came, with its right to a descriptor.
 pub struct PendingConnection {
     pub stream: TcpStream,
@@ -199,9 +77,18 @@
 }
 
 /// What to do after a request.
-enum Next {
+pub enum Next {
     Goes,
     Ends,
+    Refuse(Refusal),
+}
+
+/// What to do once all was read that had come on a connection.
+pub enum Step {
+    Waits,
+    Answer(WholeRequest),
+    Refuse(Refusal),
+    Over,
 }
 
 impl Intake {
@@ -217,6 +104,7 @@
         let wake = pipe()?;
         let clients = Clients::new(clock, limits.connections.clone());
         let reactor = Reactor::new(limits.descriptors)?;
+        let memory = MemoryBudget::new(limits.request_memory);
         Ok(Intake {
             clock,
             limits,
@@ -226,6 +114,7 @@
             stopping,
             clients,
             budget,
+            memory,
             reactor,
             closed,
             leaving,
@@ -238,6 +127,7 @@
     /// Gives the address back; whoever waits for a connection there is woken by one. One that is shared is left as it is.
     pub fn close(&self, address: Option<SocketAddr>) {
         self.closed.store(true, Ordering::SeqCst);
+        self.reactor.wake();
         match address {
             Some(address) => _ = TcpStream::connect_timeout(&address, self.limits.linger),
             None => self.wake(),
@@ -362,7 +252,6 @@
             return;
         };
         _ = stream.set_nodelay(true);
-        _ = stream.set_write_timeout(Some(self.limits.write_time));
         // Those behind it wait in the listen backlog meanwhile, which loses nobody; ended unheard at once, a client
         // with a text would be lost in any burst that this thread takes faster than the queue looks at it.
         if let Some(pending) =
@@ -396,6 +285,7 @@
         let back = |stream: Arc<TcpStream>, token, over| {
             Arc::into_inner(stream).map(|stream| PendingConnection { stream, address, token, over })
         };
+        let Some(memory) = self.memory_for_connection() else { return back(stream, token, over) };
         let number = match self.clients.admit(&stream, address, priority) {
             Ok(number) => number,
             Err(reason) => {
@@ -415,14 +305,25 @@
             thread::sleep(Duration::from_millis(1));
             passed = token.transfer(Purpose::Client);
         }
-        let session = Box::new(Session::new(number, stream, passed.expect("the loop ends with it")));
+        let token = passed.expect("the loop ends with it");
+        let session = Box::new(Session::new(number, stream, token, memory, self.memory.empty()));
         let at = self.next_look(&session);
-        let Err(session) = self.reactor.park(session, at) else { return None };
+        let Err(session) = self.reactor.park(self, session, at) else { return None };
         let Session { stream, token, .. } = *session;
         self.clients.ended(number);
         back(stream, token, over)
     }
 
+    /// What a connection takes beside its requests; stalled ones are ended for it.
+    fn memory_for_connection(&self) -> Option<MemoryReservation> {
+        loop {
+            let memory = self.memory.reserve(self.limits.connection_memory);
+            if memory.is_some() || !self.reactor.make_room(self) {
+                return memory;
+            }
+        }
+    }
+
     /// The end of a connection.
     pub fn over(&self, session: &Session) {
         self.clients.ended(session.number);
@@ -450,7 +351,7 @@
         let ends = match session.begun {
             Some(since) => {
                 let so_far = since.elapsed();
-                so_far >= limits.request_time || self.is_too_slow(session.inward.len(), so_far)
+                so_far >= limits.request_time || self.is_too_slow(session.request.received(), so_far)
             }
             // Who asks once and stays would use up the connections that clients may hold, and others could not
             // come; one that only asks questions is no such client, and would be back at once.
@@ -464,7 +365,7 @@
         };
         match ends {
             false => Due::Later(self.next_look(session)),
-            true if session.inward.is_empty() => Due::Ends,
+            true if session.request.is_empty() => Due::Ends,
             true => {
                 self.counters.bad_requests.add(1);
                 Due::TimedOut
@@ -472,187 +373,115 @@
         }
     }
 
-    /// Answers and ends a connection on which more may still come, so that the answer is not lost in a reset.
-    pub fn part(&self, number: ConnectionNumber, mut stream: &TcpStream, status: u16) {
-        self.clients.enters(number, State::Closing);
-        self.slow_down(status);
-        if !say_last(stream, status) {
-            return;
-        }
-        // Not for long: a body of any size may be on its way.
-        let (by, mut most) = (Instant::now() + self.limits.linger, self.limits.linger_bytes);
-        let mut rest = [0; 4096];
-        while let Some(left) = by.checked_duration_since(Instant::now()).filter(|left| !left.is_zero()) {
-            let read = stream.set_read_timeout(Some(left)).and_then(|()| stream.read(&mut rest));
-            match read {
-                Ok(count) if count > 0 && count < most => most -= count,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                _ => return,
-            }
-        }
+    /// Whether a connection ends with its next answer, whatever its client asks for.
+    pub fn ends_connection(&self, number: ConnectionNumber) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+            || self.leaving.load(Ordering::Relaxed)
+            || self.clients.is_shut(number)
     }
 
-    /// Answers what has come on a connection; whether it stays, for what comes next.
-    pub fn serve(&self, session: &mut Session) -> bool {
+    /// Reads what has come on a connection, as far as its turn goes.
+    pub fn read(&self, session: &mut Session, scratch: &mut [u8]) -> Step {
         let stream = Arc::clone(&session.stream);
-        let number = session.number;
+        let mut read = 0;
         loop {
-            let came = Instant::now();
-            match http::take_request(&mut session.inward, &self.limits) {
-                Ok(Some(request)) => {
-                    session.begun = None;
-                    // Clients send one request at a time, so a text with more behind it has another length than
-                    // it says, and what follows may be its own bytes.
-                    if request.method == "POST" && !session.inward.is_empty() {
-                        self.counters.bad_requests.add(1);
-                        self.part(number, &stream, 400);
-                        return false;
-                    }
-                    self.clients.enters(number, State::AwaitingResponse);
-                    if request.method == "POST" {
-                        session.rests = State::Idle;
-                    }
-                    match self.answer(
-                        number,
-                        &stream,
-                        &mut session.outward,
-                        request,
-                        came,
-                        &mut session.proven,
-                    ) {
-                        Next::Goes if session.inward.is_empty() => self.clients.enters(number, session.rests),
-                        Next::Goes => self.clients.enters(number, State::ReadingRequest),
-                        Next::Ends => {
-                            _ = stream.shutdown(Shutdown::Both);
-                            return false;
-                        }
-                    }
-                    session.rested = Instant::now();
+            match session.request.progress(&self.limits) {
+                Progress::Head(head) => {
+                    self.begin_body(session, head);
                     continue;
                 }
-                Ok(None) => {}
-                Err(Rejection(status)) => {
-                    self.counters.bad_requests.add(1);
-                    self.part(number, &stream, status);
-                    return false;
-                }
+                Progress::Whole(request) => return self.whole(session, request),
+                Progress::Refused(refusal) => return self.refused(refusal),
+                Progress::Incomplete => {}
             }
-            if !session.inward.is_empty() {
-                session.begun.get_or_insert(came);
+            if !session.request.is_empty() {
+                session.begun.get_or_insert_with(Instant::now);
             }
-            match session.read() {
-                Ok(0) => return false,
-                Ok(_) => self.clients.enters(number, State::ReadingRequest),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    // One that trickles is never at rest when its time is up.
-                    let in_time = session.begun.is_none() || matches!(self.due(session), Due::Later(_));
-                    if !in_time {
-                        self.part(number, &stream, 408);
-                    }
-                    return in_time;
-                }
-                Err(_) => return false,
+            if read >= READ_TURN {
+                return Step::Waits;
+            }
+            match session.request.fill(&mut Come(&stream), scratch, &self.limits) {
+                Ok(count) if count > 0 => read += count,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Step::Waits,
+                _ => return Step::Over,
             }
         }
     }
 
+    fn refused(&self, refusal: Refusal) -> Step {
+        if refusal.status != 503 {
+            self.counters.bad_requests.add(1);
+        }
+        Step::Refuse(refusal)
+    }
+
+    /// Says what becomes of a body by the head before it. Only that of a text that may be taken on is kept, and only within the
+    /// memory for requests: where none is left and no request has stalled, its client is told to come again.
+    fn begin_body(&self, session: &mut Session, head: RequestHead) {
+        let length = head.length;
+        let site = self.site.get();
+        let product = match self.product(&site, &head) {
+            Some(product) if head.method == "POST" => product,
+            _ => return session.request.pass_over_body(length, AfterBody::Answer(head)),
+        };
+        if self.info(&head, &site, product, Instant::now()).is_none() {
+            let refusal = Refusal { status: 400, close: true };
+            return session.request.pass_over_body(length, AfterBody::Refuse(refusal));
+        }
+        let mut kept = session.request.keep_body(head);
+        while let Err(head) = kept {
+            if !self.reactor.make_room(self) {
+                self.counters.turned_away.add(1);
+                self.counters.turned_away_memory.add(1);
+                site.ends[product].deferred.add(1);
+                let refusal = Refusal { status: 503, close: head.close };
+                return session.request.pass_over_body(length, AfterBody::Refuse(refusal));
+            }
+            kept = session.request.keep_body(head);
+        }
+    }
+
+    fn whole(&self, session: &mut Session, request: WholeRequest) -> Step {
+        session.begun = None;
+        let is_text = request.head.method == "POST";
+        // Clients send one request at a time, so a text with more behind it has another length than it says, and
+        // what follows may be its own bytes.
+        if is_text && (session.request.is_ahead() || matches!(quiet(&session.stream), Quiet::More)) {
+            return self.refused(Refusal { status: 400, close: true });
+        }
+        self.clients.enters(session.number, State::AwaitingResponse);
+        if is_text {
+            session.rests = State::Idle;
+        }
+        Step::Answer(request)
+    }
+
     /// Whether a request trickles, where a least rate is set: it would hold its place for the whole of its time.
     fn is_too_slow(&self, came: usize, since: Duration) -> bool {
         let rate = self.limits.least_rate;
         rate > 0.0 && since >= self.limits.client_pause && (came as f64) < rate * since.as_secs_f64()
     }
 
-    fn answer(
-        &self,
-        number: ConnectionNumber,
-        stream: &TcpStream,
-        outward: &mut Ring,
-        request: Request,
-        came: Instant,
-        proven: &mut bool,
-    ) -> Next {
-        let stopping = self.stopping.load(Ordering::Relaxed);
-        let shut = self.clients.is_shut(number);
-        let close = request.close || stopping || shut || self.leaving.load(Ordering::Relaxed);
-        let path = request.path.split(['?', '#']).next().unwrap_or_default();
-        let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    /// The product that a request names, by its index.
+    fn product(&self, site: &Site, head: &RequestHead) -> Option<usize> {
+        let first = path_of(head).trim_start_matches('/').split('/').next().unwrap_or_default();
+        site.products.index_of(&first.to_owned(), "product").ok()
+    }
+
+    /// Answers a whole request.
+    pub fn answer(&self, session: &mut Session, request: WholeRequest) -> Next {
+        let close = request.head.close || self.ends_connection(session.number);
         let site = self.site.get();
-        let product = site.products.index_of(&first.to_owned(), "product").ok();
-        let (status, body) = match (request.method.as_str(), path) {
-            ("GET" | "HEAD", "/up") => (if stopping { 503 } else { 200 }, String::new()),
+        let product = self.product(&site, &request.head);
+        let (status, body) = match (request.head.method.as_str(), path_of(&request.head)) {
+            ("GET" | "HEAD", "/up") => {
+                let stopping = self.stopping.load(Ordering::Relaxed);
+                (if stopping { 503 } else { 200 }, String::new())
+            }
             ("GET" | "HEAD", "/alive") => (200, String::new()),
             ("GET", "/counters") => (200, self.counted()),
             ("POST", _) if let Some(product) = product => {
-                let Some(info) = self.info(&request, &site, product, came) else {
-                    self.counters.bad_requests.add(1);
-                    self.part(number, stream, 400);
-                    return Next::Ends;
-                };
-                let close = close || self.clients.crowd(&self.limits);
-                let ends = &site.ends[product];
-                // Its client may have taken the connection for ended, and then hands it in again.
-                if shut {
-                    self.counters.turned_away.add(1);
-                    ends.deferred.add(1);
-                    return self.put(stream, outward, 503, "", true);
-                }
-                return match self.hand_in(info, request.body.into(), *proven, came) {
-                    Some(Admission::AlreadyAccepted) => self.put(stream, outward, 202, "", close),
-                    Some(Admission::Full) | None => {
-                        ends.deferred.add(1);
-                        self.put(stream, outward, 503, "", close)
-                    }
-                    Some(Admission::RetryAfter(again)) => {
-                        ends.deferred.add(1);
-                        http::put_later(outward, again.as_secs(), close);
-                        match outward.drain_to(&mut &*stream) {
-                            Ok(()) if !close => Next::Goes,
-                            _ => Next::Ends,
-                        }
-                    }
-                    Some(Admission::Indeterminate) => {
-                        ends.errored.add(1);
-                        self.put(stream, outward, 500, "", close)
-                    }
-                    Some(Admission::IdConflict) => {
-                        self.counters.bad_requests.add(1);
-                        self.part(number, stream, 409);
-                        Next::Ends
-                    }
-                    Some(Admission::UnknownDestination) => {
-                        self.counters.bad_requests.add(1);
-                        ends.errored.add(1);
-                        self.slow_down(404);
-                        self.put(stream, outward, 404, "", close)
-                    }
-                    Some(Admission::Accepted(text)) => {
-                        match quiet(stream) {
-                            Quiet::Yes => {}
-                            // A client that has gone hands the text in again, so this one must not go out as well.
-                            Quiet::Ended => {
-                                _ = self.decider.send(Message::AnswerLost(text));
-                                return self.put(stream, outward, 503, "", true);
-                            }
-                            Quiet::More => {
-                                _ = self.decider.send(Message::AnswerLost(text));
-                                self.counters.bad_requests.add(1);
-                                self.part(number, stream, 400);
-                                return Next::Ends;
-                            }
-                        }
-                        http::put_answer(outward, 202, "", close);
-                        let heard = outward.drain_to(&mut &*stream).is_ok();
-                        if heard && !std::mem::replace(proven, true) {
-                            self.clients.tell(Event::TextAccepted { number });
-                        }
-                        _ = self.decider.send(if heard {
-                            Message::AnswerDelivered(text)
-                        } else {
-                            Message::AnswerLost(text)
-                        });
-                        if heard && !close { Next::Goes } else { Next::Ends }
-                    }
-                };
+                return self.answer_text(session, request, &site, product);
             }
             (_, "/up" | "/alive" | "/counters") => (405, String::new()),
             _ if product.is_some() => (405, String::new()),
@@ -660,9 +489,94 @@
         };
         if status >= 400 && status != 503 {
             self.counters.bad_requests.add(1);
-            self.slow_down(status);
+            return Next::Refuse(Refusal { status, close });
+        }
+        self.put_next(&session.stream, status, &body, close)
+    }
+
+    /// Answers a text, which the decider takes on or not.
+    fn answer_text(&self, session: &mut Session, request: WholeRequest, site: &Site, product: usize) -> Next {
+        let WholeRequest { head, body, memory, came } = request;
+        let stream = Arc::clone(&session.stream);
+        let Some(info) = self.info(&head, site, product, came) else { return self.bad(400, true) };
+        let ends = &site.ends[product];
+        let shut = self.clients.is_shut(session.number);
+        let close = head.close || self.ends_connection(session.number) || self.clients.crowd(&self.limits);
+        // Its client may have taken the connection for ended, and then hands it in again.
+        if shut {
+            self.counters.turned_away.add(1);
+            ends.deferred.add(1);
+            return self.put_next(&stream, 503, "", true);
+        }
+        let (reply, answer) = bounded(1);
+        let hand_in = HandIn { info, body, memory, proven: session.proven, came, reply };
+        let admission = match self.decider.try_send(Message::HandIn(hand_in)) {
+            Ok(()) => self.admission(answer),
+            // It has no time.
+            Err(_) => {
+                self.counters.turned_away.add(1);
+                None
+            }
+        };
+        match admission {
+            Some(Admission::AlreadyAccepted) => self.put_next(&stream, 202, "", close),
+            Some(Admission::Full) | None => {
+                ends.deferred.add(1);
+                self.put_next(&stream, 503, "", close)
+            }
+            Some(Admission::RetryAfter(again)) => {
+                ends.deferred.add(1);
+                let mut outward = Ring::default();
+                http::put_later(&mut outward, again.as_secs(), close);
+                next(outward.drain_to(&mut Go(&stream)).is_ok(), close)
+            }
+            Some(Admission::Indeterminate) => {
+                ends.errored.add(1);
+                self.put_next(&stream, 500, "", close)
+            }
+            Some(Admission::IdConflict) => self.bad(409, true),
+            Some(Admission::UnknownDestination) => {
+                ends.errored.add(1);
+                self.bad(404, close)
+            }
+            Some(Admission::Accepted(text)) => match quiet(&stream) {
+                Quiet::Yes => {
+                    let heard = self.put(&stream, 202, "", close);
+                    if heard && !std::mem::replace(&mut session.proven, true) {
+                        self.clients.tell(Event::TextAccepted { number: session.number });
+                    }
+                    _ = self.decider.send(if heard {
+                        Message::AnswerDelivered(text)
+                    } else {
+                        Message::AnswerLost(text)
+                    });
+                    next(heard, close)
+                }
+                // A client that has gone hands the text in again, so this one must not go out as well.
+                Quiet::Ended => {
+                    _ = self.decider.send(Message::AnswerLost(text));
+                    self.put_next(&stream, 503, "", true)
+                }
+                Quiet::More => {
+                    _ = self.decider.send(Message::AnswerLost(text));
+                    self.bad(400, true)
+                }
+            },
+        }
+    }
+
+    fn bad(&self, status: u16, close: bool) -> Next {
+        self.counters.bad_requests.add(1);
+        Next::Refuse(Refusal { status, close })
+    }
+
+    /// The decider's answer; `None` where it has no time to give one.
+    fn admission(&self, answer: Receiver<Admission>) -> Option<Admission> {
+        let admission = answer.recv_timeout(self.limits.admission).ok();
+        if admission.is_none() {
+            _ = self.decider.send(Message::RequestAbandoned(answer));
         }
-        self.put(stream, outward, status, &body, close)
+        admission
     }
 
     /// All counters, connections turned away by reason included.
@@ -678,43 +592,25 @@
             text += &format!("descriptors_{name}_refused {}\n", self.budget.refused(purpose));
         }
         text += &format!("client_threads {}\n", self.reactor.threads());
+        text += &format!("request_memory {}\n", self.memory.used());
+        text += &format!("request_memory_peak {}\n", self.memory.peak());
+        text += &format!("request_memory_refused {}\n", self.memory.refused());
         text
     }
 
-    fn put(&self, mut stream: &TcpStream, outward: &mut Ring, status: u16, body: &str, close: bool) -> Next {
-        http::put_answer(outward, status, body, close);
-        match outward.drain_to(&mut stream) {
-            Ok(()) if !close => Next::Goes,
-            _ => Next::Ends,
-        }
-    }
-
-    /// A client that sends the same again as soon as it is turned away would take what time the sender has; its
-    /// own thread waits first. The usual ones are told at once when to come again.
-    fn slow_down(&self, status: u16) {
-        let by = Instant::now() + self.limits.bad_pause;
-        // Not beyond the end of this sender, which waits for the last answers.
-        while status != 503 && !self.is_closed() && Instant::now() < by {
-            thread::sleep(self.limits.bad_pause / 8);
-        }
+    /// Writes an answer; whether the system took it whole.
+    pub fn put(&self, stream: &TcpStream, status: u16, body: &str, close: bool) -> bool {
+        let mut outward = Ring::default();
+        http::put_answer(&mut outward, status, body, close);
+        outward.drain_to(&mut Go(stream)).is_ok()
     }
 
-    /// Has the decider take a text on; `None` where it has no time to.
-    fn hand_in(&self, info: TextInfo, body: Arc<[u8]>, proven: bool, came: Instant) -> Option<Admission> {
-        let (reply, answer) = bounded(1);
-        if self.decider.try_send(Message::HandIn(HandIn { info, body, proven, came, reply })).is_err() {
-            self.counters.turned_away.add(1);
-            return None;
-        }
-        let admission = answer.recv_timeout(self.limits.admission).ok();
-        if admission.is_none() {
-            _ = self.decider.send(Message::RequestAbandoned(answer));
-        }
-        admission
+    fn put_next(&self, stream: &TcpStream, status: u16, body: &str, close: bool) -> Next {
+        next(self.put(stream, status, body, close), close)
     }
 
     /// The text in a request; `None` where something in it is missing or can't be.
-    fn info(&self, request: &Request, site: &Site, product: usize, came: Instant) -> Option<TextInfo> {
+    fn info(&self, request: &RequestHead, site: &Site, product: usize, came: Instant) -> Option<TextInfo> {
         let name_of = site.products.name(product);
         let get = |name: &str| request.headers.get(name);
         // These travel on in lines of their own, parted by blanks.
@@ -745,11 +641,21 @@
     }
 }
 
+/// The path that a request asks for.
+fn path_of(head: &RequestHead) -> &str {
+    head.path.split(['?', '#']).next().unwrap_or_default()
+}
+
+/// What follows an answer.
+fn next(heard: bool, close: bool) -> Next {
+    if heard && !close { Next::Goes } else { Next::Ends }
+}
+
 /// Writes the last answer on a connection and ends this side of it; whether the other may still read it.
-pub fn say_last(mut stream: &TcpStream, status: u16) -> bool {
+pub fn say_last(stream: &TcpStream, status: u16) -> bool {
     let mut outward = Ring::default();
     http::put_answer(&mut outward, status, "", true);
-    outward.drain_to(&mut stream).is_ok() && stream.shutdown(Shutdown::Write).is_ok()
+    outward.drain_to(&mut Go(stream)).is_ok() && stream.shutdown(Shutdown::Write).is_ok()
 }
 
 /// What is on a connection whose request is being answered.
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -7,6 +7,14 @@
 use serde::Deserialize;
 use std::time::Duration;
 
+/// Bytes of a client's connection at rest: its entries in the tables, and the room of an empty ring.
+const CONNECTION_MEMORY: usize = 4 << 10;
+
+/// Bytes of a thread that answers clients: the pages of its stack that it touches, and its part of the allocator.
+const THREAD_MEMORY: usize = 48 << 10;
+
+const LEAST_CLIENT_THREADS: usize = 16;
+
 /// What the platform grants a sender.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Grant {
@@ -132,6 +140,12 @@
     pub id_rest: Duration,
     /// Connections of clients, those that wait or were only told to come again, and those to endpoints.
     pub clients: usize,
+    /// Bytes that clients' requests may hold, with their connections and threads; bytes of one connection beside its request,
+    /// and of one thread with its stack; and threads at the most.
+    pub request_memory: usize,
+    pub connection_memory: usize,
+    pub thread_memory: usize,
+    pub client_threads: usize,
     /// Connections that may lie unaccepted: a burst must find its place here, as those beyond it come again a second
     /// later, and that is longer than a client waits for its answer.
     pub backlog: i32,
@@ -185,7 +199,6 @@
     /// Threads for clients that stay when there is nothing for them to do, and how long each waits before it looks.
     pub helpers: usize,
     pub helper_rest: Duration,
-    pub write_time: Duration,
     /// How long a client's request may wait for the decider, under the client's own patience.
     pub admission: Duration,
     /// How long what a turned away client still sends is read, so that the answer reaches it.
@@ -270,8 +283,9 @@
         let texts = (log_texts / (log_reserve + 128)).min(memory / 4 / 1536) as usize;
         let links = (sockets / 3).max(2);
         let turned_away = (sockets / 12).max(2);
-        let reading = (memory / 3 / (head + body)) as usize;
-        let clients = sockets.saturating_sub(links + turned_away).min(reading).max(2);
+        let request_memory = (memory / 3) as usize;
+        let clients = sockets.saturating_sub(links + turned_away);
+        let clients = clients.min(request_memory / 2 / CONNECTION_MEMORY).max(2);
         // Those that make room are open until their threads have seen it. For them there is a third of what the queue
         // could hold, and eight of those kept free above.
         let descriptors = sockets + 8;
@@ -294,6 +308,10 @@
             id_rest: Duration::from_secs(10),
             key_rest: Duration::from_secs(10),
             clients,
+            request_memory,
+            connection_memory: CONNECTION_MEMORY,
+            thread_memory: THREAD_MEMORY,
+            client_threads: (request_memory / 4 / THREAD_MEMORY).max(LEAST_CLIENT_THREADS),
             backlog: (2 * grant.sockets).clamp(128, 4096) as i32,
             accept_queue,
             links,
@@ -325,7 +343,6 @@
             heir_beat: Duration::from_millis(3),
             terms: 1024,
             sight_beat: Duration::from_millis(200),
-            write_time: Duration::from_millis(300),
             admission: Duration::from_millis(350),
             linger: Duration::from_millis(200),
             accept_queue_time: Duration::from_millis(100),
--- a/crates/sender/src/ring.rs
+++ b/crates/sender/src/ring.rs
@@ -16,11 +16,11 @@
 /// ring.drain_to(&mut out).unwrap();
 /// assert_eq!((out.as_slice(), ring.len()), (&b"ello!"[..], 0));
 /// ```
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Ring(VecDeque<u8>);
 
-/// Room that an empty ring keeps.
-const KEPT: usize = 2048;
+/// Bytes that an empty ring keeps.
+pub const KEPT: usize = 2048;
 const READ: usize = 8192;
 
 impl Ring {
@@ -32,6 +32,11 @@
         self.0.is_empty()
     }
 
+    /// Bytes that it takes in memory.
+    pub fn capacity(&self) -> usize {
+        self.0.capacity()
+    }
+
     pub fn push(&mut self, bytes: &[u8]) {
         self.0.extend(bytes);
     }
@@ -44,6 +49,19 @@
         Ok(count)
     }
 
+    /// Moves bytes from the front into `into`, as many as there are and fit; how many.
+    pub fn take_into(&mut self, into: &mut [u8]) -> usize {
+        let count = into.len().min(self.0.len());
+        into[..count].copy_from_slice(&self.bytes()[..count]);
+        self.consume(count);
+        count
+    }
+
+    /// Drops all that is held, and its room.
+    pub fn clear(&mut self) {
+        self.0 = VecDeque::new();
+    }
+
     /// All that is held, in one piece.
     pub fn bytes(&mut self) -> &[u8] {
         self.0.make_contiguous()
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -524,6 +524,11 @@
         stat.rsplit_once(") ").is_none_or(|(_, rest)| rest.starts_with('Z'))
     }
 
+    /// The id of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
--- a/crates/sender/tests/sender/edges.rs
+++ b/crates/sender/tests/sender/edges.rs
@@ -12,7 +12,7 @@
 use indigomast_sender::config::{Config, InForce};
 use indigomast_sender::decider::Message;
 use indigomast_sender::intake::{Intake, PendingConnection};
-use indigomast_sender::reactor::Session;
+use indigomast_sender::session::Session;
 use indigomast_sender::text_journal::TextJournal;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -291,10 +291,11 @@
     if rests {
         let number = ConnectionNumber(0);
         let token = intake.budget.acquire(Purpose::Accept).expect("there are enough");
-        let mut session = Box::new(Session::new(number, Arc::new(stream), token));
+        let memory = || intake.memory.empty();
+        let mut session = Box::new(Session::new(number, Arc::new(stream), token, memory(), memory()));
         (session.begun, session.rests, session.proven) = (None, State::Idle, true);
         intake.clients.enters(number, State::Idle);
-        assert!(intake.reactor.park(session, Instant::now() + PATIENCE).is_ok());
+        assert!(intake.reactor.park(&intake, session, Instant::now() + PATIENCE).is_ok());
     }
     (intake, words, client)
 }
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -22,6 +22,7 @@
 mod readiness;
 mod registry;
 mod reload;
+mod request_memory;
 mod samples;
 mod scale_bounds;
 mod second_answers;
--- a/crates/sender/tests/sender/parts.rs
+++ b/crates/sender/tests/sender/parts.rs
@@ -4,7 +4,7 @@
 use crate::owed::info;
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use indigomast::api::{Condition, EndpointId, KindId, TextId, Verdict, ZoneId};
-use indigomast_admission::Budget;
+use indigomast_admission::{Budget, MemoryBudget};
 use indigomast_sender::call::{Call, Part};
 use indigomast_sender::clock::Clock;
 use indigomast_sender::config::{Config, InForce};
@@ -376,7 +376,8 @@
                 let (reply, answer) = bounded(1);
                 let until_ms = Clock::start().now().as_millis() + 20_000.0;
                 let info = TextInfo { until_ms, product: "queue".into(), ..info(7) };
-                let hand_in = HandIn { info, body: body.into(), proven, came: Instant::now(), reply };
+                let (memory, came) = (MemoryBudget::default().empty(), Instant::now());
+                let hand_in = HandIn { info, body: body.into(), memory, proven, came, reply };
                 decider.send(Message::HandIn(hand_in)).expect("it listens");
                 answer
             })
@@ -410,6 +411,7 @@
             .send(Message::HandIn(HandIn {
                 info,
                 body: Arc::default(),
+                memory: MemoryBudget::default().empty(),
                 proven: true,
                 came: Instant::now(),
                 reply,
