--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -693,7 +693,9 @@
     }
 
     fn write(&mut self, step: &mut Step) -> io::Result<()> {
-        let mut buffer = Vec::new();
+        // Room for all of it at first, so that it doesn't grow out of a small piece that another thread's arena once gave.
+        let waiting: u64 = self.waiting.iter().map(Record::bytes).sum();
+        let mut buffer = Vec::with_capacity(waiting.min(self.settings.segment) as usize);
         let mut done = 0;
         while done < self.waiting.len() {
             let record = &self.waiting[done];
--- a/crates/sender/src/carrier.rs
+++ b/crates/sender/src/carrier.rs
@@ -1,7 +1,7 @@
 //! The thread of one connection to an endpoint: it sends a call, waits for the answer, and reports what became of it.
 
 use crate::answer::{self, Answered, Ends};
-use crate::call::{Call, Submit};
+use crate::call::{Call, Part, Submit};
 use crate::clock::{duration, span};
 use crate::http::{self, AnswerHead};
 use crate::link::{self, AtRest, Fault, Link};
@@ -247,30 +247,37 @@
             control.stream = Some(Arc::clone(link.stream()));
         }
         let host = self.target.address.to_string();
+        let mut frames = Vec::new();
         if let [part] = &call.parts[..]
             && !call.names_texts()
         {
             let wait = part.by.saturating_duration_since(call.sent).as_millis().to_string();
             let mut headers = vec![("X-Request-ID", part.id.as_str()), ("X-Timeout-Ms", &wait)];
             headers.extend(part.mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
-            http::put_request(&mut link.outward, "POST /v1/messages", &host, &headers, &part.body);
+            let length = Some(part.body.len());
+            http::put_request_head(&mut link.outward, "POST /v1/messages", &host, &headers, length);
         } else {
             let latest = call.parts.iter().map(|part| part.by).max().unwrap_or(call.sent);
             let wait = latest.saturating_duration_since(call.sent).as_millis().to_string();
-            let mut body = Vec::new();
-            for part in &call.parts {
-                let mark = part.mark.as_deref().unwrap_or("-");
-                body.extend(format!("{} {mark} {}\r\n", part.id, part.body.len()).bytes());
-                body.extend_from_slice(&part.body);
-                body.extend(b"\r\n");
-            }
+            frames.extend(call.parts.iter().map(frame));
+            let framed = call.parts.iter().zip(&frames);
+            let length = framed.map(|(part, frame)| frame.len() + part.body.len() + FRAME_END.len()).sum();
             let headers = [("X-Timeout-Ms", wait.as_str())];
-            http::put_request(&mut link.outward, "POST /v1/messages:batch", &host, &headers, &body);
+            let line = "POST /v1/messages:batch";
+            http::put_request_head(&mut link.outward, line, &host, &headers, Some(length));
         }
+        // A body has no copy while it is sent: calls of several long ones would have the most memory of all.
+        let pieces: Vec<&[u8]> = match &frames[..] {
+            [] => call.parts.iter().map(|part| &part.body[..]).collect(),
+            _ => {
+                let framed = call.parts.iter().zip(&frames);
+                framed.flat_map(|(part, frame)| [frame.as_bytes(), &part.body[..], FRAME_END]).collect()
+            }
+        };
         let by = call.parts.iter().map(|part| part.by.min(part.send_deadline)).min().unwrap_or(call.sent);
         call.left = true;
         self.connection_use.begin_call(call.ids());
-        link.send(by).map_err(|_| Verdict::ConnectFailed)?;
+        link.send_with(&pieces, by).map_err(|_| Verdict::ConnectFailed)?;
         self.target.trunk.figures.sends.add(call.parts.len());
         self.calls += 1;
         log_request!(
@@ -337,6 +344,14 @@
     }
 }
 
+/// What stands before and behind each text in a call of several.
+fn frame(part: &Part) -> String {
+    let mark = part.mark.as_deref().unwrap_or("-");
+    format!("{} {mark} {}\r\n", part.id, part.body.len())
+}
+
+const FRAME_END: &[u8] = b"\r\n";
+
 /// What came back for a call.
 struct Answer {
     head: AnswerHead,
--- a/crates/sender/src/decider.rs
+++ b/crates/sender/src/decider.rs
@@ -762,6 +762,10 @@
             self.key_queues.entry(key).or_default().push_back((text, KeyQueueState::Blocked));
         }
         self.pending_replies.push((text, reply));
+        // The journal has copies of all that it writes at once, and of some of what it holds already.
+        if self.journal.unwritten() >= self.limits.journal_batch {
+            self.flush();
+        }
     }
 
     /// Withdraws a text whose client has not been answered yet, and answers it with a conflict. Returns whether the text
--- a/crates/sender/src/http.rs
+++ b/crates/sender/src/http.rs
@@ -170,16 +170,28 @@
 }
 
 pub fn put_request(ring: &mut Ring, line: &str, host: &str, headers: &[(&str, &str)], body: &[u8]) {
+    let length = (!body.is_empty() || line.starts_with("POST")).then_some(body.len());
+    put_request_head(ring, line, host, headers, length);
+    ring.push(body);
+}
+
+/// The head of a request whose body, of this length, the caller puts behind it.
+pub fn put_request_head(
+    ring: &mut Ring,
+    line: &str,
+    host: &str,
+    headers: &[(&str, &str)],
+    length: Option<usize>,
+) {
     let mut head = format!("{line} HTTP/1.1\r\nHost: {host}\r\n");
     for (name, value) in headers {
         head.extend([name, ": ", value, "\r\n"]);
     }
-    if !body.is_empty() || line.starts_with("POST") {
-        head += &format!("Content-Length: {}\r\n", body.len());
+    if let Some(length) = length {
+        head += &format!("Content-Length: {length}\r\n");
     }
     head += "\r\n";
     ring.push(head.as_bytes());
-    ring.push(body);
 }
 
 #[derive(Debug)]
--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -156,6 +156,8 @@
     /// The journal's files, and what the texts at hand may take of them and of the memory.
     pub journal: indigomast_journal::Settings,
     pub log_texts: u64,
+    /// Bytes of texts that are taken on before they are written to the journal, together.
+    pub journal_batch: usize,
     /// AuxiliaryRecord free in the journal for what is still to be written of a text.
     pub log_reserve: u64,
     /// How long a start waits for the process before to let go of the journal.
@@ -318,6 +320,7 @@
             reports_a_call: 64,
             journal,
             log_texts,
+            journal_batch: (memory / 64) as usize,
             log_reserve,
             lock_wait: Duration::from_millis(1000),
             submits,
--- a/crates/sender/src/link.rs
+++ b/crates/sender/src/link.rs
@@ -3,7 +3,8 @@
 use crate::http::{self, AnswerHead, Garbled};
 use crate::limits::Limits;
 use crate::ring::Ring;
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, IoSlice, Write};
+use std::iter;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -66,6 +67,21 @@
     e.kind() == ErrorKind::WouldBlock
 }
 
+/// Writes all of these, in as few writes as the system takes.
+fn write_all(mut stream: &TcpStream, mut slices: &mut [IoSlice]) -> io::Result<()> {
+    // Empty ones would look as if nothing were taken.
+    IoSlice::advance_slices(&mut slices, 0);
+    while !slices.is_empty() {
+        match stream.write_vectored(slices) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(count) => IoSlice::advance_slices(&mut slices, count),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 impl Link {
     pub fn open(address: SocketAddr, wait: Duration) -> io::Result<Link> {
         let stream = TcpStream::connect_timeout(&address, wait.max(Duration::from_millis(1)))?;
@@ -112,9 +128,20 @@
 
     /// Sends what stands in the outward ring. On a fault the last byte has not left.
     pub fn send(&mut self, by: Instant) -> Result<(), Fault> {
+        self.send_with(&[], by)
+    }
+
+    /// Sends what stands in the outward ring and these pieces behind it, of which no copy is made. On a fault the last byte has
+    /// not left.
+    pub fn send_with(&mut self, pieces: &[&[u8]], by: Instant) -> Result<(), Fault> {
         let wait = left(by).ok_or(Fault::Late)?;
         self.stream.set_write_timeout(Some(wait)).map_err(|_| Fault::Broken)?;
-        self.outward.drain_to(&mut &*self.stream).map_err(|e| {
+        let head = self.outward.bytes();
+        let mut slices: Vec<IoSlice> =
+            iter::once(head).chain(pieces.iter().copied()).map(IoSlice::new).collect();
+        let written = write_all(&self.stream, &mut slices);
+        self.outward.clear();
+        written.map_err(|e| {
             self.ended = true;
             if too_late(&e) { Fault::Late } else { Fault::Broken }
         })
--- a/crates/sender/src/text_journal.rs
+++ b/crates/sender/src/text_journal.rs
@@ -198,7 +198,13 @@
     }
 }
 
-fn encode(owed: &OutstandingText, into: Vec<u8>) -> Vec<u8> {
+/// What the names, times and marks of a text take at most, as a rule.
+const USUAL_HEAD: usize = 640;
+
+fn encode(owed: &OutstandingText, mut into: Vec<u8>) -> Vec<u8> {
+    // Room for all of it at first: an allocation that grows stays in the allocator's arena in which it began, which is
+    // that of any thread whose small piece came to be free here, and each of them keeps room for a body then.
+    into.reserve(USUAL_HEAD + owed.body.len());
     let TextInfo { id, mark, product, key, dest, until_ms } = &owed.info;
     let stored = Stored {
         taken_ms: owed.taken_ms,
@@ -387,6 +393,8 @@
     max_text_bytes: u64,
     reserve: u64,
     max_outstanding: usize,
+    /// Bytes of texts added since the last flush.
+    unwritten: usize,
     began: Instant,
     /// Segments freed by compaction.
     pub compactions: usize,
@@ -431,6 +439,7 @@
             max_text_bytes: limits.log_texts,
             reserve: limits.log_reserve,
             max_outstanding: limits.texts,
+            unwritten: 0,
             began: Instant::now(),
             compactions: 0,
         };
@@ -563,6 +572,7 @@
             return None;
         }
         let text = self.records.begin(&payload, self.reserve).ok()?.0 as usize;
+        self.unwritten += payload.len();
         self.bytes += owed.bytes;
         self.held += usize::from(owed.report.is_none());
         self.outstanding.insert(text, owed);
@@ -582,6 +592,11 @@
         })
     }
 
+    /// Bytes of texts that were added since the last flush, of which the journal has copies until the next one.
+    pub fn unwritten(&self) -> usize {
+        self.unwritten
+    }
+
     fn note<T: Serialize>(&mut self, text: usize, tag: u8, said: &T) {
         let payload = postcard::to_extend(said, Vec::new()).expect("plain data");
         self.records.note(Key(text as u64), tag, &payload);
@@ -626,6 +641,7 @@
     ///
     /// Nothing added since the last successful flush is guaranteed; the next flush writes it again.
     pub fn flush(&mut self) -> io::Result<()> {
+        self.unwritten = 0;
         let (owed, kept) = (&self.outstanding, &self.kept);
         let step =
             self.records.commit(self.began.elapsed(), &mut |key, into| write_image(owed, kept, key, into))?;
--- a/crates/sender/tests/sender/request_memory.rs
+++ b/crates/sender/tests/sender/request_memory.rs
@@ -247,8 +247,9 @@
 fn no_flood_of_requests_takes_a_sender_over_its_memory() {
     let single = FLOODS.iter().map(|kind| (32, 3.0, std::slice::from_ref(kind)));
     let mixed = [(32, 3.0, &FLOODS[..]), (48, 3.0, &FLOODS[..]), (64, 3.0, &FLOODS[..])];
+    let large_disk = [(32, 64.0, &[Flood::GoodTexts][..]), (48, 64.0, &[Flood::GoodTexts][..])];
     let mut over = Vec::new();
-    for (memory_mb, disk_mb, kinds) in single.chain(mixed) {
+    for (memory_mb, disk_mb, kinds) in single.chain(mixed).chain(large_disk) {
         let (world, usual) = (World::new(memory_mb, disk_mb), Usual::default());
         let daemon = Daemon::start(&world.config, &world.folder);
         assert_eq!(daemon.client().ask(&text("once", "known", 0, "k", b"first")).0, 202);
