Settings: a schema says what a class has to have, not the file before it

Cause: a key that all classes of the file in force had, and one of the new file lacks, counted as cut off.

Change: crates/site/src/schema.rs tells for each key of a class, an account and a listed endpoint whether it is required, optional or required by another key's value; a start and SIGHUP ask it alike. Objects outside of lists are compared with the file before as they were.

Files of tests and rigs that lacked late-worth or stream have them, as all sites' files do.

--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -188,7 +188,8 @@
     use serde_json::json;
     let category = |name: &str, repeat: &str| {
         json!({"name": name, "objective-ms": 3000.0, "deadline-ms": 24000.0, "repeat": repeat, "group": "all",
-            "in-order": false, "window-ms": 15000.0, "worth": 1.0})
+            "in-order": false, "window-ms": 15000.0, "worth": 1.0, "late-worth": 0.5,
+        "stream": false})
     };
     json!({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": platform.to_string(), "seed": "8c1f30d27a5be964",
--- a/crates/lab/src/assignment/stage.rs
+++ b/crates/lab/src/assignment/stage.rs
@@ -1004,7 +1004,8 @@
         "settings": {
             "group-size": 1, "ordinal": 0, "kinds": ["k"], "localities": ["here"], "tick-ms": 5.0,
             "categories": [{"name": "free", "objective-ms": 3000.0, "deadline-ms": 5000.0, "repeat": "read_like",
-                "group": "all", "in-order": false, "window-ms": 15000.0, "worth": 1.0}],
+                "group": "all", "in-order": false, "window-ms": 15000.0, "worth": 1.0, "late-worth": 0.5,
+        "stream": false}],
             "family-info": {"call-slots": 64, "kind-batch": [1], "routes-apart": [false]},
             "membership-mode": "automatic", "weight-kind": "silent",
             "obligations": {"cold-share": 0.2, "cold-ms": 1000.0, "tip-multiple": 2.0,
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -29,6 +29,8 @@
                 "in-order": product.in_order,
                 "window-ms": product.memory_ms,
                 "worth": product.revenue,
+                "late-worth": 0.0,
+                "stream": false,
             })
         })
         .collect();
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -35,6 +35,8 @@
             "in-order": false,
             "window-ms": 20_000.0,
             "worth": 1.0,
+            "late-worth": 0.0,
+            "stream": false,
         })
     };
     json!({
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -5,7 +5,7 @@
 use crate::list::{self, EndpointList, ListSource};
 use crate::notices::Reporter;
 use crate::versions;
-use indigomast_site::{BootInfo, Complaint, Names, parse_json};
+use indigomast_site::{BootInfo, Complaint, Names, parse_json, schema};
 use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 use serde_json::Value;
@@ -150,55 +150,30 @@
     }
 }
 
-/// Which keys a file has, by their paths. One that comes in its place and lacks some of them is cut short, whatever is
-/// read of it: it is turned down as a whole.
+/// Which keys a file has outside of lists, by their paths. One that comes in its place and lacks some of them is cut short, whatever
+/// is read of it: it is turned down as a whole. What the elements of lists have to have is said by [`schema`], of any file.
 #[derive(Debug, Default)]
-pub struct Keys {
-    /// Of objects outside of lists.
-    plain: BTreeSet<String>,
-    /// Of all elements of a list, by the list's path.
-    lists: BTreeSet<(String, String)>,
-}
-
-/// What only texts of one effect need.
-const BY_EFFECT: [&str; 2] = ["group", "window-ms"];
+pub struct Keys(BTreeSet<String>);
 
 impl Keys {
-    pub fn of(text: &str) -> Keys {
+    fn of(file: &Value) -> Keys {
         let mut keys = Keys::default();
-        if let Ok(value) = serde_json::from_str::<Value>(text) {
-            keys.collect(&value, "");
-        }
+        keys.collect(file, "");
         keys
     }
 
     fn collect(&mut self, value: &Value, path: &str) {
-        match value {
-            Value::Object(fields) => {
-                for (name, field) in fields {
-                    let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
-                    self.collect(field, &path);
-                    self.plain.insert(path);
-                }
-            }
-            Value::Array(elements) => {
-                let objects: Vec<_> = elements.iter().filter_map(Value::as_object).collect();
-                let Some((first, others)) = objects.split_first() else { return };
-                for name in first.keys().filter(|name| others.iter().all(|other| other.contains_key(*name))) {
-                    self.lists.insert((path.to_owned(), name.clone()));
-                }
-            }
-            _ => {}
+        let Value::Object(fields) = value else { return };
+        for (name, field) in fields {
+            let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+            self.collect(field, &path);
+            self.0.insert(path);
         }
     }
 
-    /// What this file lacks that the one before it has. Lists that are empty now lack nothing.
+    /// What this file lacks that the one before it has.
     pub fn lacks(&self, before: &Keys) -> Option<String> {
-        let plain = before.plain.difference(&self.plain).next().cloned();
-        let filled = |list: &str| self.lists.iter().any(|(other, _)| other == list);
-        let mut gone = before.lists.difference(&self.lists).filter(|(list, _)| filled(list));
-        let within = gone.find(|(_, name)| !BY_EFFECT.contains(&&**name));
-        plain.or_else(|| within.map(|(list, name)| format!("{list}[].{name}")))
+        before.0.difference(&self.0).next().cloned()
     }
 }
 
@@ -251,6 +226,9 @@
 
     fn read(text: &str, state: PathBuf, control: Option<SocketAddr>) -> Result<Config, Complaint> {
         let file: File = parse_json(text)?;
+        let whole: Value = parse_json(text)?;
+        schema::check(&whole["settings"], &schema::SETTINGS).map_err(|e| format!("settings.{e}"))?;
+        schema::check(&whole["known"], &[schema::MEMBERS]).map_err(|e| format!("known.{e}"))?;
         let control = control.or(file.control);
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?;
         let site = Site::of(file.settings).map_err(|e| format!("settings.{e}"))?;
@@ -271,7 +249,7 @@
             limits,
             site,
             known,
-            keys: Keys::of(text),
+            keys: Keys::of(&whole),
             revision: versions::revision(text),
         })
     }
--- a/crates/sender/tests/sender/common.rs
+++ b/crates/sender/tests/sender/common.rs
@@ -367,7 +367,8 @@
 
 fn category(name: &str, repeat: &str, in_order: bool) -> Value {
     json!({"name": name, "objective-ms": 3000.0, "deadline-ms": 24000.0, "repeat": repeat, "group": "all",
-        "in-order": in_order, "window-ms": 15000.0, "worth": 1.0})
+        "in-order": in_order, "window-ms": 15000.0, "worth": 1.0, "late-worth": 0.5,
+        "stream": false})
 }
 
 /// A site with one product of each kind of repeat, all of them on known endpoints.
--- a/crates/sender/tests/sender/crossings.rs
+++ b/crates/sender/tests/sender/crossings.rs
@@ -287,7 +287,7 @@
     let (discovery, endpoint, mut config, folder) = world();
     let product = |name: &str, repeat: &str| {
         json!({"name": name, "objective-ms": 1500.0, "deadline-ms": 9000.0, "repeat": repeat, "group": "all",
-            "window-ms": 12000.0, "worth": 1.0, "in-order": false})
+            "window-ms": 12000.0, "worth": 1.0, "late-worth": 0.5, "stream": false, "in-order": false})
     };
     config["settings"]["categories"] =
         json!([product("receipt", "non_idempotent"), product("status", "read_like")]);
--- a/crates/sender/tests/sender/main.rs
+++ b/crates/sender/tests/sender/main.rs
@@ -27,6 +27,7 @@
 mod scale_bounds;
 mod second_answers;
 mod second_answers_soak;
+mod settings_schema;
 mod soak;
 mod sockets;
 mod witness;
--- a/crates/sender/tests/sender/operations.rs
+++ b/crates/sender/tests/sender/operations.rs
@@ -65,7 +65,8 @@
 
 fn category(name: &str, repeat: &str, objective_ms: f64) -> Value {
     json!({"name": name, "objective-ms": objective_ms, "deadline-ms": 24000.0, "repeat": repeat, "group": "all",
-        "in-order": false, "window-ms": 15000.0, "worth": 1.0})
+        "in-order": false, "window-ms": 15000.0, "worth": 1.0, "late-worth": 0.5,
+        "stream": false})
 }
 
 #[test]
@@ -287,9 +288,10 @@
         let rest: Vec<&str> = [&lines[..gone], &lines[gone + 1..]].concat();
         let Ok(parsed) = Config::parse(&rest.join("\n"), folder.clone()) else { continue };
         let follows = parsed.follows(&before.site, &before.keys, before.listen);
-        // An order of its own, and what only some effects need, may be left out.
-        let spared = ["window-ms", "group", "\"known\""].iter().any(|name| lines[gone].contains(name));
-        assert!(follows.is_err() || spared, "{}", lines[gone]);
+        // What a class may leave out, and what only classes of another effect need; `settings_schema` tells which is which.
+        let optional = ["in-order", "window-ms", "group\"", "\"known\""];
+        let spared = optional.iter().any(|name| lines[gone].contains(name));
+        assert_eq!(follows.is_ok(), spared, "{}", lines[gone]);
     }
 }
 
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,6 +1,8 @@
 //! The settings object that a sender gets at its start, decoded into the settings of the decision logic, and the
 //! mapping of names to small indices.
 
+pub mod schema;
+
 use indigomast::api::{Kind, ListedRate, Product, Repeat as MayRepeat, Settings};
 use indigomast::time::Span;
 use serde::Deserialize;
