Settings: a keyed class without a known group is refused by the field's name

Cause: group and window-ms were passed over by name when a file was compared with the one before; what stood in for that asked a keyed class for window-ms only, and a missing group, or any word but "all", was read as one zone.

Change: a keyed class has to have both keys (schema), and its group is "all" or "zone"; an installation's one_zone is told as "zone". Start and SIGHUP alike.

Tests, failing before: an_effect_that_changes_brings_the_keys_that_it_needs, a_group_that_is_not_known_is_refused_where_it_is_read, the rows of group in each_key_of_a_class...; a_file_short_of_a_group_changes_nothing... on a real process (its line never came on the code before, stopped after 60 s).

--- a/crates/config/src/installation.rs
+++ b/crates/config/src/installation.rs
@@ -559,7 +559,7 @@
                 Repeats::Referenced => Repeat::IdempotencyKey,
                 Repeats::OnceOnly => Repeat::NonIdempotent,
             },
-            group: (!one_zone).then(|| "all".to_owned()),
+            group: Some(if one_zone { "zone" } else { "all" }.to_owned()),
             window_ms: memory.as_secs_f64() * 1000.0,
             in_order,
             validity_ms: Some(validity.as_secs_f64() * 1000.0),
--- a/crates/sender/tests/sender/settings_schema.rs
+++ b/crates/sender/tests/sender/settings_schema.rs
@@ -4,14 +4,14 @@
 use indigomast_sender::config::Config;
 use serde_json::{Value, json};
 use std::path::Path;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const EFFECTS: [&str; 3] = ["read_like", "idempotency_key", "non_idempotent"];
 /// What every class has to have, and what none has to.
 const REQUIRED: [&str; 7] =
     ["name", "objective-ms", "deadline-ms", "late-worth", "repeat", "stream", "worth"];
 const OPTIONAL: [&str; 2] = ["in-order", "aim-stretch"];
-const FOR_KEYED: [&str; 1] = ["window-ms"];
+const FOR_KEYED: [&str; 2] = ["group", "window-ms"];
 
 fn class(name: &str, repeat: &str) -> Value {
     json!({"aim-stretch": 2.0, "deadline-ms": 24000.0, "group": "all", "in-order": true, "late-worth": 0.5,
@@ -126,3 +126,63 @@
         assert!(Instant::now() < by, "no notice comes");
     }
 }
+
+/// Guards against a class that becomes keyed with no word on where its repeats are dropped: each effect is changed to each other,
+/// with and without the keys that only keyed classes need.
+#[test]
+fn an_effect_that_changes_brings_the_keys_that_it_needs() {
+    let folder = Folder::new();
+    let state = folder.state();
+    for from in EFFECTS {
+        let before = with_classes(&[class("other", "read_like"), class("changes", from)]);
+        for to in EFFECTS {
+            for key in FOR_KEYED {
+                let changed = without(&class("changes", to), key);
+                let file = with_classes(&[class("other", "read_like"), changed]);
+                judge(&before, &file, (to == "idempotency_key").then_some(key), &state);
+            }
+        }
+    }
+}
+
+/// The groups that the pages know, and no others where one is read.
+#[test]
+fn a_group_that_is_not_known_is_refused_where_it_is_read() {
+    let folder = Folder::new();
+    let state = folder.state();
+    let before = with_classes(&[class("a", "idempotency_key")]);
+    for effect in EFFECTS {
+        for (group, is_known) in [
+            (json!("all"), true),
+            (json!("zone"), true),
+            (json!("cell"), false),
+            (json!(""), false),
+            (json!("some"), false),
+            (json!(null), false),
+        ] {
+            let mut changed = class("a", effect);
+            changed["group"] = group;
+            let is_broken = effect == "idempotency_key" && !is_known;
+            judge(&before, &with_classes(&[changed]), is_broken.then_some("group"), &state);
+        }
+    }
+}
+
+/// Guards against messages that may never run twice and go again after a 500, since a file short of `group` was put in force.
+#[test]
+fn a_file_short_of_a_group_changes_nothing_of_a_sender_at_work() {
+    let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+    let mut config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    config["settings"]["categories"] =
+        json!([class("marked", "idempotency_key"), class("once", "non_idempotent")]);
+    let daemon = Daemon::start(&config, &folder);
+    let mut broken = config.clone();
+    broken["settings"]["categories"][1] = without(&class("once", "idempotency_key"), "group");
+    reload(&daemon, &folder, &broken);
+    let line = daemon.line_with("the configuration");
+    assert!(line.contains("stays as it was: settings.categories[1].group"), "{line}");
+    assert_eq!(daemon.hand_in("once", "a", 0), 202);
+    endpoint.next().status(500);
+    daemon.counts("undeliverable", 1);
+    assert!(endpoint.next_within(Duration::from_millis(300)).is_none(), "it was sent again");
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -121,12 +121,37 @@
         over("objective-ms", self.objective_ms)?;
         over("deadline-ms", self.deadline_ms.unwrap_or(1.0))?;
         match self.repeat {
-            Repeat::IdempotencyKey => over("window-ms", self.window_ms),
+            Repeat::IdempotencyKey => {
+                over("window-ms", self.window_ms)?;
+                Group::of(self.group.as_deref()).map(drop)
+            }
             Repeat::ReadLike | Repeat::NonIdempotent => Ok(()),
         }
     }
 }
 
+/// Which endpoints of a destination drop repeats of a text that has a mark.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    /// Those of the zone of the endpoint that had it first.
+    Zone,
+}
+
+impl Group {
+    /// # Errors
+    ///
+    /// A complaint about `group`, if none is named or none that is known.
+    pub fn of(name: Option<&str>) -> Result<Group, Complaint> {
+        match name {
+            Some("all") => Ok(Group::All),
+            Some("zone") => Ok(Group::Zone),
+            Some(other) => Err(format!("group: {other:?} is neither \"all\" nor \"zone\"")),
+            None => Err("group: is missing".into()),
+        }
+    }
+}
+
 #[derive(Deserialize, Clone, Copy)]
 #[serde(rename_all = "snake_case")]
 pub enum Repeat {
@@ -213,7 +238,7 @@
                 Repeat::NonIdempotent => MayRepeat::OnceOnly,
                 Repeat::IdempotencyKey => MayRepeat::Referenced {
                     memory: Span::from_millis(category.window_ms),
-                    one_zone: category.group.as_deref() != Some("all"),
+                    one_zone: Group::of(category.group.as_deref()) != Ok(Group::All),
                 },
             },
             in_order: category.in_order,
--- a/crates/site/src/schema.rs
+++ b/crates/site/src/schema.rs
@@ -70,7 +70,7 @@
             required("repeat"),
             required("stream"),
             required("worth"),
-            optional("group"),
+            for_keyed("group"),
             for_keyed("window-ms"),
             optional("in-order"),
             optional("aim-stretch"),
