--- a/crates/sender/tests/sender/second_answers_soak.rs
+++ b/crates/sender/tests/sender/second_answers_soak.rs
@@ -1,7 +1,8 @@
 //! Endpoints under load that write more answers than they owe, drawn from a seed and judged by what endpoints, platform and
 //! clients have seen.
 //!
-//! `INDIGOMAST_STRAYS=FROM-TO` plays these seeds, of which 24 hold each kind of stray answer; twelve where it is not set.
+//! `INDIGOMAST_STRAYS=FROM-TO` plays these seeds, of which 24 hold each kind of stray answer; twelve where it is not set. From
+//! `FIRST_WIDE` on there are several senders and signals, calls are larger, and endpoints hang up.
 
 use crate::common::*;
 use crate::kills::Dice;
@@ -27,6 +28,8 @@
 const LATE: Duration = Duration::from_millis(350);
 const SEEN_LATE: Duration = Duration::from_millis(300);
 
+const FIRST_WIDE: u64 = 301;
+
 /// When bytes come that nobody asked for.
 #[derive(Clone, Copy, Debug)]
 enum Stray {
@@ -59,6 +62,11 @@
     crowd: usize,
     /// The process is held up again and again.
     held_up: bool,
+    senders: usize,
+    /// One call in so many ends with its connection and no answer; none where it is 0.
+    hang_up_one_in: u64,
+    /// SIGHUP comes again and again.
+    reloads: bool,
 }
 
 const STRAYS: [Stray; 12] = [
@@ -79,14 +87,22 @@
 impl Case {
     fn of(seed: u64) -> Case {
         let at = (seed - 1) / 2 % STRAYS.len() as u64;
+        let is_wide = seed >= FIRST_WIDE;
         Case {
             stray: STRAYS[at as usize],
             one_in: [4, 4, 1, 20][(seed / 3 % 4) as usize],
-            messages_per_call: if seed % 2 == 1 { 1 } else { 5 },
+            messages_per_call: match (seed % 2, is_wide) {
+                (1, _) => 1,
+                (_, false) => 5,
+                (_, true) => 10,
+            },
             link_ms: if seed % 5 == 4 { 30 } else { 0 },
             alike: !seed.is_multiple_of(3),
             crowd: if seed % 4 == 3 { 120 } else { 0 },
             held_up: seed % 7 == 5,
+            senders: if is_wide { 3 } else { 1 },
+            hang_up_one_in: if is_wide { 12 } else { 0 },
+            reloads: is_wide,
         }
     }
 }
@@ -318,6 +334,10 @@
             if line.gone {
                 continue;
             }
+            if self.case.hang_up_one_in > 0 && self.roll(self.case.hang_up_one_in) == 0 {
+                self.hang_up(&mut line, writes);
+                continue;
+            }
             line.out.retain(|other| *other != out);
             let refuses = self.roll(12) == 0;
             let (answer, status, given) = match refuses {
@@ -336,6 +356,15 @@
         }
     }
 
+    /// Ends a connection without an answer to what is out on it. That it is over is noted first: whoever hears of it may call again.
+    fn hang_up(&self, line: &mut Line, writes: &Sender<(Instant, Vec<u8>)>) {
+        line.gone = true;
+        let mut record = self.shared.record();
+        line.out.drain(..).flatten().for_each(|(id, call)| record.gets(&id, call, Given::Unknown));
+        drop(record);
+        _ = writes.send((Instant::now(), HANG_UP));
+    }
+
     fn done(&self, out: &Out) -> Vec<u8> {
         if self.case.messages_per_call > 1 {
             return ok_json(&out.iter().map(|(id, _)| format!("{id} done\r\n")).collect::<String>());
@@ -344,6 +373,9 @@
     }
 }
 
+/// Written to a connection, it ends it.
+const HANG_UP: Vec<u8> = Vec::new();
+
 fn refused() -> Vec<u8> {
     b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_vec()
 }
@@ -351,6 +383,10 @@
 fn write(mut stream: TcpStream, writings: &Receiver<(Instant, Vec<u8>)>) {
     for (at, bytes) in writings {
         thread::sleep(at.saturating_duration_since(Instant::now()));
+        if bytes == HANG_UP {
+            _ = stream.shutdown(Shutdown::Both);
+            return;
+        }
         if stream.write_all(&bytes).is_err() {
             break;
         }
@@ -444,13 +480,18 @@
     let mut config = config(&members, discovery.address);
     config["settings"]["family-info"]["kind-batch"] = json!([case.messages_per_call]);
     let mut daemon = Daemon::start(&config, &folder);
+    let folders: Vec<Folder> = (1..case.senders).map(|_| Folder::new()).collect();
+    let others: Vec<Daemon> = folders.iter().map(|folder| Daemon::start(&config, folder)).collect();
+    let senders: Vec<&Daemon> = [&daemon].into_iter().chain(&others).collect();
     let (platform, ours) = (Arc::clone(&discovery), Arc::clone(&shared));
     let hears = thread::spawn(move || hear(&platform, seed, &ours));
     let idle: Vec<Client> = (0..case.crowd).filter_map(|_| Client::try_at(daemon.address)).collect();
-    let working = AtomicUsize::new(CLIENTS);
+    let clients = CLIENTS * case.senders;
+    let working = AtomicUsize::new(clients);
     thread::scope(|scope| {
-        for worker in 0..CLIENTS {
-            let (shared, address, working) = (&shared, daemon.address, &working);
+        for worker in 0..clients {
+            let address = senders[worker % senders.len()].address;
+            let (shared, working) = (&shared, &working);
             scope.spawn(move || {
                 hand_in(address, worker, seed, shared);
                 working.fetch_sub(1, Ordering::SeqCst);
@@ -459,6 +500,9 @@
         let mut dice = Dice(seed);
         while working.load(Ordering::SeqCst) > 0 {
             thread::sleep(Duration::from_millis(100 + dice.roll(100)));
+            if case.reloads && dice.roll(4) == 0 {
+                senders.iter().for_each(|sender| sender.signal("-HUP"));
+            }
             if case.held_up {
                 daemon.signal("-STOP");
                 thread::sleep(Duration::from_millis(dice.roll(150)));
