--- a/crates/sender/src/reactor.rs
+++ b/crates/sender/src/reactor.rs
@@ -2,8 +2,8 @@
 //!
 //! A thread for each connection at rest costs nothing while it sleeps. But a process that is held back to its share of
 //! a core by being stopped and resumed wakes all of them each time, and two hundred were more than the whole share: once
-//! over it, the sender stayed over it. So one thread waits for all of them, and only what is being read, decided or
-//! answered has a thread from a pool.
+//! over it, the sender stayed over it. So one thread waits for all of them and reads what comes; only a request that is whole has a
+//! thread from a pool, until it has its answer.
 
 use crate::intake::{Due, Intake, Next, Step};
 use crate::request_reader::{Refusal, WholeRequest};
--- a/crates/sender/src/request_reader.rs
+++ b/crates/sender/src/request_reader.rs
@@ -158,10 +158,17 @@
         Ok(())
     }
 
-    /// Reads a body of this length from now on and keeps none of it.
+    /// Reads a body of this length from now on and keeps none of it. A head that is answered behind it holds memory meanwhile; where
+    /// there is none for it, its request is refused with 503.
     pub fn pass_over_body(&mut self, length: usize, after: AfterBody) {
         let held = length.min(self.ring.len());
         self.ring.consume(held);
+        let after = match after {
+            AfterBody::Answer(head) if !self.reserve(head.memory()) => {
+                AfterBody::Refuse(Refusal { status: 503, close: head.close })
+            }
+            after => after,
+        };
         self.stage = Stage::PassedOver { left: length - held, after };
     }
 
--- a/crates/sender/src/request_reader/tests.rs
+++ b/crates/sender/src/request_reader/tests.rs
@@ -79,3 +79,24 @@
     reader.clear();
     assert!(reader.is_empty() && budget.used() == 0 && budget.peak() <= 4000);
 }
+
+/// Guards against heads that are held without memory for them, while a body behind them is passed over.
+#[test]
+fn a_head_that_waits_for_the_end_of_its_body_holds_memory() {
+    let (limits, mut scratch) = (limits(), vec![0; 16 << 10]);
+    let long = "x".repeat(6000);
+    let raw = format!("GET /up HTTP/1.1\r\nX-Long: {long}\r\nContent-Length: 10\r\n\r\n");
+    for (budget, is_refused) in [(MemoryBudget::new(20_000), false), (MemoryBudget::new(6000), true)] {
+        let mut reader = RequestReader::new(budget.empty());
+        reader.fill(&mut raw.as_bytes(), &mut scratch, &limits).expect("there are bytes");
+        let Progress::Head(head) = reader.progress(&limits) else { panic!("the head is whole") };
+        reader.pass_over_body(head.length, AfterBody::Answer(head));
+        assert_eq!(budget.used() >= long.len(), !is_refused);
+        reader.fill(&mut &b"0123456789"[..], &mut scratch, &limits).expect("there are bytes");
+        match reader.progress(&limits) {
+            Progress::Whole(_) => assert!(!is_refused),
+            Progress::Refused(refusal) => assert!(is_refused && refusal.status == 503),
+            other => panic!("{other:?}"),
+        }
+    }
+}
--- a/crates/sender/tests/sender/request_memory.rs
+++ b/crates/sender/tests/sender/request_memory.rs
@@ -36,12 +36,13 @@
     EndlessHead,
     TooLongBody,
     BodyOfAQuestion,
+    LongHeadOfAQuestion,
     ManyInOnePiece,
     AnswersUnread,
     GoodTexts,
 }
 
-const FLOODS: [Flood; 13] = [
+const FLOODS: [Flood; 14] = [
     Flood::UnknownDestination,
     Flood::UnknownClass,
     Flood::NoId,
@@ -52,6 +53,7 @@
     Flood::EndlessHead,
     Flood::TooLongBody,
     Flood::BodyOfAQuestion,
+    Flood::LongHeadOfAQuestion,
     Flood::ManyInOnePiece,
     Flood::AnswersUnread,
     Flood::GoodTexts,
@@ -100,6 +102,12 @@
                 stream.write_all(&text("free", &id, 0, "k", &body)).ok()?;
             }
             Flood::BodyOfAQuestion => stream.write_all(&without("POST /free", "GET /up")).ok()?,
+            Flood::LongHeadOfAQuestion => {
+                let line = format!("X-Long: {}\r\n", "x".repeat(7000));
+                let head = format!("GET /up HTTP/1.1\r\n{line}Content-Length: {FLOOD_BODY}\r\n\r\n");
+                stream.write_all(head.as_bytes()).ok()?;
+                stream.write_all(&body[..FLOOD_BODY / 2]).ok()?;
+            }
             Flood::ManyInOnePiece => stream.write_all(&whole.repeat(4)).ok()?,
             Flood::AnswersUnread => {
                 let questions = b"GET /counters HTTP/1.1\r\n\r\n".repeat(300);
