--- a/crates/config/tests/installation.rs
+++ b/crates/config/tests/installation.rs
@@ -233,3 +233,43 @@
         }
     }
 }
+
+/// Each key of a product is missed exactly where it is required, of the first product and of the last; whichever effect a product
+/// has, with one zone and without.
+#[test]
+fn each_key_of_a_product_is_missed_exactly_where_it_is_required() {
+    let keys = |repeat: &str, one_zone: bool| {
+        [
+            ("name", "name = \"receipt\"".to_owned()),
+            ("repeat", format!("repeat = \"{repeat}\"")),
+            ("memory", "memory = \"30s\"".into()),
+            ("sla", "sla = \"3s\"".into()),
+            ("validity", "validity = \"20s\"".into()),
+            ("in_order", "in_order = true".into()),
+            ("one_zone", format!("one_zone = {one_zone}")),
+        ]
+    };
+    let other = "[[products]]\nname = \"other\"\nrepeat = \"resendable\"\n";
+    let (before, gateways) = GOOD.split_once("[[products]]").expect("it has products");
+    let gateways = &gateways[gateways.find("[[gateways]]").expect("it has gateways")..];
+    for (repeat, one_zone) in
+        ["resendable", "referenced", "once-only"].into_iter().flat_map(|r| [(r, true), (r, false)])
+    {
+        let keys = keys(repeat, one_zone);
+        for left_out in [None].into_iter().chain(keys.iter().map(|(name, _)| Some(*name))) {
+            let lines = keys.iter().filter(|(name, _)| Some(*name) != left_out);
+            let product: String = lines.map(|(_, line)| format!("{line}\n")).collect();
+            let product = format!("[[products]]\n{product}");
+            for products in [format!("{product}{other}"), format!("{other}{product}")] {
+                let text = format!("{before}{products}{gateways}");
+                let parsed = Installation::parse("f.toml", &text, Path::new("/base"));
+                let refused = parsed.and_then(Installation::config).err().unwrap_or_default();
+                let refused: Vec<String> = refused.iter().map(Complaint::to_string).collect();
+                match left_out.filter(|name| ["name", "repeat"].contains(name)) {
+                    Some(name) => assert!(refused.iter().any(|e| e.contains(name)), "{name}: {refused:?}"),
+                    None => assert!(refused.is_empty(), "{repeat} {left_out:?}: {refused:?}"),
+                }
+            }
+        }
+    }
+}
