Agent: a life waits until the clock has come to what the one before set apart

Cause: each life sets 4,096 revisions apart and begins at the clock in microseconds or behind the last block, whichever is later. Lives of less than 4.1 ms push the revisions ahead of the clock, by the rest of a block each; once the folder is lost the clock alone decides, and revisions come again.

Change: a life waits for the clock, 4.1 ms at the most; where the clock was set back further it begins behind the block as before.

--- a/crates/control-plane/src/agent.rs
+++ b/crates/control-plane/src/agent.rs
@@ -262,9 +262,7 @@
             Err(e) if e.kind() == io::ErrorKind::NotFound => 0,
             Err(e) => return Err(e),
         };
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        // In microseconds: no life uses up its block sooner than that, and doubles hold such numbers until the year 2255.
-        let last = known.max(since.as_micros() as u64);
+        let last = known.max(clock_once_past(known));
         let mut revisions = Revisions { path, last, until: last };
         revisions.set_apart(last)?;
         Ok(revisions)
@@ -278,6 +276,25 @@
     }
 }
 
+/// The clock in microseconds: doubles hold such numbers until the year 2255, and no life uses up its block sooner than that.
+///
+/// A life of less time than its block has numbers leaves some that the clock has not come to. They are waited for, `BLOCK`
+/// microseconds at the most, so that no revision is ahead of the clock: a life that finds nothing on the disk begins there. Nothing
+/// is waited for where the clock was set back further.
+fn clock_once_past(known: u64) -> u64 {
+    let now = microseconds();
+    let ahead = known.saturating_sub(now);
+    if ahead == 0 || ahead > BLOCK {
+        return now;
+    }
+    thread::sleep(Duration::from_micros(ahead));
+    microseconds()
+}
+
+fn microseconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
 struct Actor {
     relays: Vec<SocketAddr>,
     began: Instant,
--- a/crates/control-plane/tests/carrier/processes.rs
+++ b/crates/control-plane/tests/carrier/processes.rs
@@ -16,7 +16,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Control processes, the first promoted, and two agents whose senders share all destinations.
 fn served(controls: usize) -> Fleet {
@@ -210,7 +210,24 @@
     fleet.start(0);
     fleet.start_agent(4, &[0]);
     until("the list", || (fleet.page(4).0 == 200).then_some(()));
-    assert!(fleet.page(4).1["revision"].as_u64() > Some(last));
+    let (status, page) = fleet.page(4);
+    assert!(page["revision"].as_u64() > Some(last), "{status} {page} after {last}");
+}
+
+/// Guards against a revision that is told again with another meaning: an agent that was started again several times within
+/// milliseconds, and then lost its folder, began before the revisions that it had told.
+#[test]
+fn no_revision_is_ahead_of_the_clock_however_soon_an_agent_is_started_again() {
+    let mut fleet = served(1);
+    let at = fleet.put(0, 17, &member(17, "a"));
+    fleet.agent_has(4, at);
+    for life in 0..12 {
+        fleet.stop_agent(4);
+        fleet.start_agent(4, &[0]);
+        let revision = fleet.page(4).1["revision"].as_u64().expect("a number");
+        let clock = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_micros();
+        assert!(u128::from(revision) <= clock, "life {life}: {revision} at {clock}");
+    }
 }
 
 #[test]
