--- a/crates/sender/tests/sender/second_answers_soak.rs
+++ b/crates/sender/tests/sender/second_answers_soak.rs
@@ -2,7 +2,8 @@
 //! clients have seen.
 //!
 //! `INDIGOMAST_STRAYS=FROM-TO` plays these seeds, of which 24 hold each kind of stray answer; twelve where it is not set. From
-//! `FIRST_WIDE` on there are several senders and signals, calls are larger, and endpoints hang up.
+//! `FIRST_WIDE` on there are several senders and signals, calls are larger, and endpoints hang up. From `FIRST_LATE_CLOSE` on they
+//! also hear late that a connection was ended, as behind a slow network, and leave some calls without an answer.
 
 use crate::common::*;
 use crate::kills::Dice;
@@ -29,6 +30,7 @@
 const SEEN_LATE: Duration = Duration::from_millis(300);
 
 const FIRST_WIDE: u64 = 301;
+const FIRST_LATE_CLOSE: u64 = 401;
 
 /// When bytes come that nobody asked for.
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +69,10 @@
     hang_up_one_in: u64,
     /// SIGHUP comes again and again.
     reloads: bool,
+    /// The end of a connection is heard up to so many milliseconds late.
+    close_late_ms: u64,
+    /// One call in so many is never answered; none where it is 0.
+    silent_one_in: u64,
 }
 
 const STRAYS: [Stray; 12] = [
@@ -88,6 +94,7 @@
     fn of(seed: u64) -> Case {
         let at = (seed - 1) / 2 % STRAYS.len() as u64;
         let is_wide = seed >= FIRST_WIDE;
+        let closes_late = seed >= FIRST_LATE_CLOSE;
         Case {
             stray: STRAYS[at as usize],
             one_in: [4, 4, 1, 20][(seed / 3 % 4) as usize],
@@ -103,6 +110,8 @@
             senders: if is_wide { 3 } else { 1 },
             hang_up_one_in: if is_wide { 12 } else { 0 },
             reloads: is_wide,
+            close_late_ms: if closes_late { [20, 60, 100, 150][(seed % 4) as usize] } else { 0 },
+            silent_one_in: if closes_late { 10 } else { 0 },
         }
     }
 }
@@ -235,7 +244,8 @@
         Duration::from_millis(if self.case.link_ms > 0 { 1 + self.roll(self.case.link_ms) } else { 0 })
     }
 
-    /// Reads what comes, at once: the end of a connection is seen as it happens, and calls come after their way.
+    /// Reads what comes, at once: the end of a connection is seen as it happens unless the case has it seen late, and calls come after
+    /// their way.
     fn serve(self: Arc<Endpoint>, mut stream: TcpStream) {
         let line = Arc::<Mutex<Line>>::default();
         let (arrives, arrivals) = unbounded::<(Instant, Instant, Vec<u8>)>();
@@ -251,6 +261,10 @@
                 break;
             }
         }
+        // One that was hung up here is no news.
+        if self.case.close_late_ms > 0 && !line.lock().expect("sound").gone {
+            thread::sleep(Duration::from_millis(self.roll(self.case.close_late_ms + 1)));
+        }
         let mut line = line.lock().expect("sound");
         line.gone = true;
         let mut record = self.shared.record();
@@ -338,6 +352,9 @@
                 self.hang_up(&mut line, writes);
                 continue;
             }
+            if self.case.silent_one_in > 0 && self.roll(self.case.silent_one_in) == 0 {
+                continue;
+            }
             line.out.retain(|other| *other != out);
             let refuses = self.roll(12) == 0;
             let (answer, status, given) = match refuses {
