--- a/crates/sender/src/limits.rs
+++ b/crates/sender/src/limits.rs
@@ -15,6 +15,13 @@
 
 const LEAST_CLIENT_THREADS: usize = 16;
 
+/// Bytes of the program's own pages, and of its tables and threads at rest.
+const RESTING_MEMORY: u64 = 10 << 20;
+
+/// Bytes of memory for each byte of the journal's files. Files count as memory, and three quarters of their bytes may be of texts at
+/// hand, which take as much again in tables and in what the allocator keeps.
+const MEMORY_PER_FILE_BYTE: f64 = 2.5;
+
 /// What the platform grants a sender.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Grant {
@@ -257,6 +264,15 @@
     pub shares: Shares,
 }
 
+/// Bytes that the journal's files may have: what the disk has room for, or the memory beside requests if that is less.
+fn journal_files(disk: u64, memory: u64, request_memory: u64) -> u64 {
+    // The rest is for the lock, the manifests, and what the platform counts of each file beyond its end.
+    let on_disk = disk / 16 * 15;
+    let left = memory.saturating_sub(request_memory + RESTING_MEMORY) as f64;
+    let in_memory = (left / MEMORY_PER_FILE_BYTE) as u64;
+    on_disk.min(in_memory.max(memory / 16))
+}
+
 impl Limits {
     pub fn of(grant: Grant) -> Limits {
         // Standard streams, the listener, the log's files, the signal's pipe and discovery; and the second address with
@@ -269,23 +285,21 @@
         let name = 128;
         let (submits, longest_name) = (grant.submits.max(1), grant.longest_name);
         let log_reserve = crate::text_journal::reserve_bytes(submits, longest_name);
-        // The rest is for the lock, the manifests, and what the platform counts of each file beyond its end.
-        // All of it is read at a start, so there is no more than twice what texts may take: room that a large disk would have
-        // beside that saves a little moving of texts, and costs every restart.
-        let files = (disk / 16 * 15).min(memory / 2);
+        let request_memory = memory / 3;
+        let files = journal_files(disk, memory, request_memory);
         // A small disk has room for short texts only.
         let beside =
             crate::text_journal::longest_payload(0, name, longest_name, longest_name) + log_reserve as usize;
         let body =
             indigomast_journal::Settings::longest_within(files).saturating_sub(beside).min(64 << 10) as u64;
         let journal = indigomast_journal::Settings::within(files, beside + body as usize);
-        // Bytes are counted, not texts: most are small. A quarter of the memory is for them, with as much again for
-        // what all tables hold of a text, and a third for requests that are being read, of which each may be whole.
+        // Bytes are counted, not texts: most are small. They have what the journal has room for, and a quarter of the memory at the
+        // most.
         let log_texts = journal.room().min(memory / 4);
         let texts = (log_texts / (log_reserve + 128)).min(memory / 4 / 1536) as usize;
         let links = (sockets / 3).max(2);
         let turned_away = (sockets / 12).max(2);
-        let request_memory = (memory / 3) as usize;
+        let request_memory = request_memory as usize;
         let clients = sockets.saturating_sub(links + turned_away);
         let clients = clients.min(request_memory / 2 / CONNECTION_MEMORY).max(2);
         // Those that make room are open until their threads have seen it. For them there is a third of what the queue
--- a/crates/sender/tests/sender/request_memory.rs
+++ b/crates/sender/tests/sender/request_memory.rs
@@ -1,10 +1,12 @@
 //! The memory of a real process while clients flood it with requests that it turns away.
 
 use crate::common::*;
+use indigomast_sender::limits::{Grant, Limits};
 use serde_json::{Value, json};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -17,6 +19,9 @@
 const USUAL_PAUSE: Duration = Duration::from_millis(100);
 const FLOOD_CLIENTS: usize = 200;
 const FLOOD_TIME: Duration = Duration::from_millis(1200);
+const FILE_BLOCK: u64 = 512;
+/// What a sender takes with nobody at it, its program's pages included: more than any that was seen.
+const AT_REST: u64 = 10 * MEBIBYTE;
 /// How long a flooding client waits for its answer before it comes again.
 const FLOOD_PATIENCE: Duration = Duration::from_secs(3);
 const SAMPLE_EVERY: Duration = Duration::from_millis(2);
@@ -128,6 +133,18 @@
     [&raw[..at], to.as_bytes(), &raw[at + from.len()..]].concat()
 }
 
+/// Bytes of the files in a folder, each in whole blocks.
+fn file_bytes(folder: &Path) -> u64 {
+    let entries = fs::read_dir(folder).into_iter().flatten().flatten();
+    let sizes = entries.map(|entry| match entry.metadata() {
+        Ok(metadata) if metadata.is_dir() => file_bytes(&entry.path()),
+        Ok(metadata) => metadata.len().next_multiple_of(FILE_BLOCK),
+        // It was removed meanwhile.
+        Err(_) => 0,
+    });
+    sizes.sum()
+}
+
 /// Bytes of a process that are its own, and those of its program's pages.
 #[derive(Clone, Copy, Default)]
 struct Resident {
@@ -238,12 +255,12 @@
     }
 }
 
-/// The most that a sender's processes have in a time.
-fn peak(daemons: &[&Daemon], time: Duration) -> u64 {
+/// The most that a sender's processes have in a time, the files in its folder included: they count as memory.
+fn peak(daemons: &[&Daemon], folder: &Folder, time: Duration) -> u64 {
     let began = Instant::now();
     let mut peak = 0;
     while began.elapsed() < time {
-        peak = peak.max(Resident::of_all(daemons));
+        peak = peak.max(Resident::of_all(daemons) + file_bytes(&folder.state()));
         thread::sleep(SAMPLE_EVERY);
     }
     peak
@@ -261,7 +278,7 @@
         let (world, usual) = (World::new(memory_mb, disk_mb), Usual::default());
         let daemon = Daemon::start(&world.config, &world.folder);
         assert_eq!(daemon.client().ask(&text("once", "known", 0, "k", b"first")).0, 202);
-        let peak = flood(daemon.address, kinds, &usual, || peak(&[&daemon], FLOOD_TIME));
+        let peak = flood(daemon.address, kinds, &usual, || peak(&[&daemon], &world.folder, FLOOD_TIME));
         assert!(!daemon.has_ended(), "{kinds:?}");
         let seen = format!(
             "{memory_mb} MB, {disk_mb} MB of disk, {kinds:?}: {} KiB, {} of {} usual messages taken on",
@@ -277,6 +294,47 @@
     assert!(over.is_empty(), "{over:#?}");
 }
 
+/// Guards against files that take the memory which requests and texts are granted: with a disk of 64 MB, of which files had up to half
+/// of the memory, a sender of 32 MB came to 45 MB.
+#[test]
+fn requests_texts_and_files_have_room_beside_each_other() {
+    for memory_mb in [32, 48, 64, 96, 128, 192, 1024] {
+        for disk_mb in [1.5, 3.0, 5.0, 8.0, 16.0, 64.0, 1000.0] {
+            let limits = Limits::of(Grant::new(memory_mb, 1024, disk_mb));
+            // A text at hand takes as much again in tables and in what the allocator keeps.
+            let texts = 2 * limits.log_texts;
+            let all = AT_REST + limits.request_memory as u64 + limits.journal.most + texts;
+            assert!(all <= memory_mb * MEBIBYTE, "{memory_mb} MB, {disk_mb} MB of disk: {} KiB", all >> 10);
+        }
+    }
+}
+
+/// Guards against texts that are lost, or a start that is refused, where a folder has more in it than its files may have now: of a
+/// sender that had more memory, or of a program that gave files more of it.
+#[test]
+fn a_journal_with_more_than_its_files_may_have_now_is_taken_over_whole() {
+    const TEXTS: usize = 80;
+    let (discovery, endpoint, folder) = (Host::open(), Host::open(), Folder::new());
+    let mut config = config(&[member("e0", &endpoint, 0, "Ready")], discovery.address);
+    config["limits"]["memory_mb"] = json!(64);
+    config["limits"]["disk_mb"] = json!(64.0);
+    config["settings"]["ceilings"]["most-held"] = json!(500);
+    let raw = |number: usize| text("free", &format!("t{number}"), 0, "k", &[b'x'; FLOOD_BODY]);
+    let mut first = Daemon::start(&config, &folder);
+    let mut client = first.client();
+    (0..TEXTS).for_each(|number| assert_eq!(client.ask(&raw(number)).0, 202, "text {number}"));
+    first.kill();
+    let had = file_bytes(&folder.state());
+    config["limits"]["memory_mb"] = json!(32);
+    let room = Limits::of(Grant::new(32, 1024, 64.0)).journal.most;
+    assert!(had > room, "{had} bytes, {room} may be there now");
+    let second = Daemon::start(&config, &folder);
+    let mut client = second.client();
+    // It has each of them still, and room for no other.
+    (0..TEXTS).for_each(|number| assert_eq!(client.ask(&raw(number)).0, 202, "text {number} again"));
+    assert_eq!(client.ask(&raw(TEXTS)).0, 503);
+}
+
 /// Guards against an upgrade whose two processes, each within its memory, are over it together; and a file that is read anew in
 /// the flood.
 #[test]
@@ -288,17 +346,17 @@
     let to = socket.local_addr().expect("bound");
     assert_eq!(Client::at(to).ask(&text("once", "known", 0, "k", b"first")).0, 202);
     let peak = flood(to, &FLOODS, &usual, || {
-        let before = peak(&[&first], FLOOD_TIME / 3);
+        let before = peak(&[&first], &world.folder, FLOOD_TIME / 3);
         first.signal("-HUP");
-        let reloaded = peak(&[&first], FLOOD_TIME / 3);
+        let reloaded = peak(&[&first], &world.folder, FLOOD_TIME / 3);
         let second = Daemon::sharing(&world.config, &world.folder, &socket);
         let began = Instant::now();
         let mut both = 0;
         while !first.has_ended() && began.elapsed() < PATIENCE {
-            both = both.max(peak(&[&first, &second], FLOOD_TIME / 10));
+            both = both.max(peak(&[&first, &second], &world.folder, FLOOD_TIME / 10));
         }
         assert!(first.has_ended(), "the second takes over");
-        let after = peak(&[&second], FLOOD_TIME / 3);
+        let after = peak(&[&second], &world.folder, FLOOD_TIME / 3);
         assert!(!second.has_ended());
         before.max(reloaded).max(both).max(after)
     });
