Review: notices wait for an address that discovery has left (case 6)

A notice whose connection came to the old address as it stopped accepting is waited for 1 s, and all others behind it.

--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod lists;
+mod moves;
 mod routes;
 mod staged;
 
@@ -20,6 +21,7 @@
         "unheard" => staged::unheard(),
         "keeper-killed" => staged::keeper_killed(),
         "held-list" => lists::run(),
+        "moved-discovery" => moves::run(),
         other => common::end(common::NOT_RUN, &format!("there is no case {other}")),
     }
 }
