--- a/review/harness-2/common.rs
+++ b/review/harness-2/common.rs
@@ -221,10 +221,17 @@
     Process::start(command, name)
 }
 
-/// A port that is free now.
+/// A port that is free now, below those that systems give to connections: it is to be free for a second process too.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let begin = u64::from(std::process::id()) * 97;
+    for _ in 0..2000 {
+        let port = 20_000 + ((begin + NEXT.fetch_add(1, Ordering::Relaxed)) % 12_000) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("bound");
+        }
+    }
+    end(NOT_RUN, "no port is free")
 }
 
 #[derive(Clone, Debug)]
